--- /dev/null
+++ b/src/goldcrestwell/shell/version.hpp
@@ -0,0 +1,13 @@
+#ifndef GOLDCRESTWELL_SHELL_VERSION_HPP
+#define GOLDCRESTWELL_SHELL_VERSION_HPP
+
+#include <string_view>
+
+namespace goldcrestwell {
+
+/** @return The version of the program, as `major.minor.patch`. */
+[[nodiscard]] std::string_view program_version() noexcept;
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/test/test_main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE goldcrestwell
+#include <boost/test/unit_test.hpp>
