Add the core's common types and messages

Cause: modules exchange plain structs, so those come first. Change: one type a file under core/common and core/message: ids, times, reasons, counters, invariants, records, frames and datagrams. Conclusion: decisions can be written and tested without any encoding.

--- /dev/null
+++ b/src/goldcrestwell/core/common/counters.hpp
@@ -0,0 +1,31 @@
+#ifndef GOLDCRESTWELL_CORE_COMMON_COUNTERS_HPP
+#define GOLDCRESTWELL_CORE_COMMON_COUNTERS_HPP
+
+#include "goldcrestwell/core/common/drop_reason.hpp"
+#include "goldcrestwell/core/common/enum_counters.hpp"
+#include "goldcrestwell/core/common/refusal_reason.hpp"
+#include "goldcrestwell/core/common/retry_reason.hpp"
+
+#include <cstdint>
+
+namespace goldcrestwell {
+
+/** @brief Counters of one node. */
+struct counters {
+    /** @brief Calls accepted from callers. */
+    std::uint64_t calls{};
+    /** @brief Calls that got an upstream's answer. */
+    std::uint64_t answered{};
+    /** @brief Refusals given to callers, by reason. */
+    enum_counters<refusal_reason, refusal_reason_count> refusals;
+    /** @brief Refusals given to other nodes by the ledger, by reason. */
+    enum_counters<refusal_reason, refusal_reason_count> attempt_refusals;
+    /** @brief Retries, by reason. */
+    enum_counters<retry_reason, retry_reason_count> retries;
+    /** @brief Discarded inputs, by reason. */
+    enum_counters<drop_reason, drop_reason_count> drops;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/attempt_cancel.hpp
@@ -0,0 +1,17 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_ATTEMPT_CANCEL_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_ATTEMPT_CANCEL_HPP
+
+#include "goldcrestwell/core/common/attempt_id.hpp"
+
+namespace goldcrestwell {
+
+/** @brief Tells the node beside the upstream that nobody waits for an attempt any more. */
+struct attempt_cancel {
+    attempt_id id;
+
+    [[nodiscard]] friend bool operator==(const attempt_cancel&, const attempt_cancel&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/attempt_status.hpp
@@ -0,0 +1,23 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_ATTEMPT_STATUS_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_ATTEMPT_STATUS_HPP
+
+#include "goldcrestwell/core/common/attempt_id.hpp"
+
+#include <cstdint>
+
+namespace goldcrestwell {
+
+/** @brief What the ledger knows about an attempt; an answered one gets its reply again instead. */
+enum class attempt_progress : std::uint8_t { never_seen, queued, running, lost };
+
+/** @brief Answer to a query. */
+struct attempt_status {
+    attempt_id id;
+    attempt_progress progress{attempt_progress::lost};
+
+    [[nodiscard]] friend bool operator==(const attempt_status&, const attempt_status&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/call_refusal.hpp
@@ -0,0 +1,19 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_CALL_REFUSAL_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_CALL_REFUSAL_HPP
+
+#include "goldcrestwell/core/common/refusal_reason.hpp"
+#include "goldcrestwell/core/common/run_state.hpp"
+
+namespace goldcrestwell {
+
+/** @brief A call that got no answer, and what is known about it. */
+struct call_refusal {
+    refusal_reason reason{};
+    run_state state{run_state::not_run};
+
+    [[nodiscard]] friend bool operator==(const call_refusal&, const call_refusal&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/call_result.hpp
@@ -0,0 +1,16 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_CALL_RESULT_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_CALL_RESULT_HPP
+
+#include "goldcrestwell/core/message/call_refusal.hpp"
+#include "goldcrestwell/core/message/http_answer.hpp"
+
+#include <variant>
+
+namespace goldcrestwell {
+
+/** @brief What a caller receives: an upstream's answer or a refusal. */
+using call_result = std::variant<http_answer, call_refusal>;
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/checkpoint_part.hpp
@@ -0,0 +1,33 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_CHECKPOINT_PART_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_CHECKPOINT_PART_HPP
+
+#include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/message/edit_verdict.hpp"
+#include "goldcrestwell/core/message/rollout_fact.hpp"
+#include "goldcrestwell/core/message/route_base.hpp"
+#include "goldcrestwell/core/message/table_row.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief One part of the table's state at an offset; parts of one checkpoint share `covers` and `digest`. */
+struct checkpoint_part {
+    /** @brief The state holds all records up to this offset. */
+    log_offset covers;
+    /** @brief Hash of the whole state. */
+    std::uint64_t digest{};
+    std::uint32_t index{};
+    std::uint32_t count{};
+    std::vector<table_row> rows;
+    std::vector<route_base> bases;
+    std::vector<rollout_fact> facts;
+    std::vector<edit_verdict> verdicts;
+
+    [[nodiscard]] friend bool operator==(const checkpoint_part&, const checkpoint_part&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/config_pull.hpp
@@ -0,0 +1,17 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_CONFIG_PULL_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_CONFIG_PULL_HPP
+
+#include "goldcrestwell/core/common/log_offset.hpp"
+
+namespace goldcrestwell {
+
+/** @brief Asks a peer for the records after an offset. */
+struct config_pull {
+    log_offset after;
+
+    [[nodiscard]] friend bool operator==(const config_pull&, const config_pull&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/datagram.hpp
@@ -0,0 +1,37 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_DATAGRAM_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_DATAGRAM_HPP
+
+#include "goldcrestwell/core/common/incarnation.hpp"
+#include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/common/node_id.hpp"
+#include "goldcrestwell/core/message/member.hpp"
+#include "goldcrestwell/core/message/move_update.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief Purpose of a datagram. */
+enum class datagram_kind : std::uint8_t { ping, ack, ping_request, push };
+
+/** @brief A membership message over UDP with the facts it carries. */
+struct datagram {
+    datagram_kind kind{datagram_kind::ping};
+    node_id sender;
+    incarnation life;
+    /** @brief Pairs an ack with its ping. */
+    std::uint32_t sequence{};
+    /** @brief Node to probe for a ping request, or on whose behalf an ack is sent. */
+    node_id target;
+    /** @brief The sender's position in the log. */
+    log_offset position;
+    std::vector<member> members;
+    std::vector<move_update> moves;
+
+    [[nodiscard]] friend bool operator==(const datagram&, const datagram&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/fwd.hpp
@@ -0,0 +1,47 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_FWD_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_FWD_HPP
+
+namespace goldcrestwell {
+
+struct attempt_cancel;
+struct attempt_query;
+struct attempt_reply;
+struct attempt_request;
+struct attempt_status;
+struct call_observation;
+struct call_refusal;
+struct call_request;
+struct checkpoint_part;
+struct config_pull;
+struct datagram;
+struct edit_verdict;
+struct evidence_report;
+struct evidence_window;
+struct heartbeat;
+struct heartbeat_ack;
+struct hello;
+struct http_answer;
+struct http_header;
+struct member;
+struct move_key;
+struct move_state;
+struct move_update;
+struct record_batch;
+struct rollout_fact;
+struct route_base;
+struct row_change;
+struct row_key;
+struct row_limits;
+struct row_values;
+struct sequenced_record;
+struct sync_digest;
+struct sync_state;
+struct table_edit;
+struct table_row;
+struct upstream_info;
+struct upstream_result;
+struct version_share;
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/http_answer.hpp
@@ -0,0 +1,23 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_HTTP_ANSWER_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_HTTP_ANSWER_HPP
+
+#include "goldcrestwell/core/message/http_header.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief An upstream's whole answer. */
+struct http_answer {
+    std::uint32_t status{};
+    std::vector<http_header> headers;
+    std::string body;
+
+    [[nodiscard]] friend bool operator==(const http_answer&, const http_answer&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/log_record.hpp
@@ -0,0 +1,22 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_LOG_RECORD_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_LOG_RECORD_HPP
+
+#include "goldcrestwell/core/message/checkpoint_part.hpp"
+#include "goldcrestwell/core/message/rollout_fact.hpp"
+#include "goldcrestwell/core/message/table_edit.hpp"
+
+#include <variant>
+
+namespace goldcrestwell {
+
+/** @brief Stands for a record that could not be decoded; every node skips it. */
+struct unreadable_record {
+    [[nodiscard]] friend bool operator==(const unreadable_record&, const unreadable_record&) = default;
+};
+
+/** @brief A record of the `config` stream. */
+using log_record = std::variant<unreadable_record, table_edit, checkpoint_part, rollout_fact>;
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/move_key.hpp
@@ -0,0 +1,21 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_MOVE_KEY_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_MOVE_KEY_HPP
+
+#include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/message/row_key.hpp"
+
+#include <compare>
+
+namespace goldcrestwell {
+
+/** @brief Identity of a move: a row in the version set by one edit. */
+struct move_key {
+    row_key row;
+    log_offset row_version;
+
+    [[nodiscard]] friend auto operator<=>(const move_key&, const move_key&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/move_state.hpp
@@ -0,0 +1,23 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_MOVE_STATE_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_MOVE_STATE_HPP
+
+#include "goldcrestwell/core/message/take_back_reason.hpp"
+
+#include <cstdint>
+
+namespace goldcrestwell {
+
+/** @brief Progress of a move; every field only grows, so that states merge in any order. */
+struct move_state {
+    /** @brief Stage reached; zero means no traffic beyond the base share. */
+    std::uint8_t stage{};
+    bool done{};
+    bool taken_back{};
+    take_back_reason reason{take_back_reason::none};
+
+    [[nodiscard]] friend bool operator==(const move_state&, const move_state&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/take_back_reason.hpp
@@ -0,0 +1,27 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_TAKE_BACK_REASON_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_TAKE_BACK_REASON_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace goldcrestwell {
+
+/** @brief Why a version was taken back. */
+enum class take_back_reason : std::uint8_t {
+    none,
+    failures,
+    latency,
+    failing_in_a_row,
+    operator_request,
+};
+
+/** @brief Number of enumerators of `take_back_reason`. */
+inline constexpr std::size_t take_back_reason_count = 5;
+
+/** @return The name used in logs, metrics and headers. */
+[[nodiscard]] std::string_view to_string(take_back_reason value) noexcept;
+
+} // namespace goldcrestwell
+
+#endif
