--- /dev/null
+++ b/src/goldcrestwell/shell/event_loop.cpp
@@ -0,0 +1,51 @@
+#include "goldcrestwell/shell/event_loop.hpp"
+
+#include <event2/event.h>
+
+#include <new>
+
+namespace goldcrestwell {
+
+namespace {
+
+using task_type = std::function<void()>;
+
+void run_task(evutil_socket_t /*unused*/, short /*unused*/, void* argument) {
+    const std::unique_ptr<task_type> task{static_cast<task_type*>(argument)};
+    (*task)();
+}
+
+} // namespace
+
+void event_loop::base_deleter::operator()(event_base* base) const noexcept {
+    event_base_free(base);
+}
+
+event_loop::event_loop() : base_{event_base_new()} {
+    if (!base_) {
+        throw std::bad_alloc{};
+    }
+}
+
+time_sample event_loop::now() const {
+    return {.steady = std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::steady_clock::now()),
+            .wall = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now())};
+}
+
+void event_loop::run() {
+    event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void event_loop::stop() {
+    event_base_loopbreak(base_.get());
+}
+
+void event_loop::defer(std::function<void()> task) {
+    constexpr timeval at_once{};
+    auto owned = std::make_unique<task_type>(std::move(task));
+    if (event_base_once(base_.get(), -1, EV_TIMEOUT, run_task, owned.get(), &at_once) == 0) {
+        static_cast<void>(owned.release());
+    }
+}
+
+} // namespace goldcrestwell
