Add the HTTP listener and the client connection

Cause: callers, upstreams and the platform's log speak HTTP. Change: evhttp behind http_server, http_exchange and http_connection. The client reports not_sent only if the connection was never opened, never resends, and treats an answer without a length as cut. Conclusion: the outcomes are exact enough for at-most-once above them.

--- /dev/null
+++ b/src/goldcrestwell/shell/endpoint.hpp
@@ -0,0 +1,24 @@
+#ifndef GOLDCRESTWELL_SHELL_ENDPOINT_HPP
+#define GOLDCRESTWELL_SHELL_ENDPOINT_HPP
+
+#include "goldcrestwell/core/common/node_id.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace goldcrestwell {
+
+/** @brief IPv4 address and TCP or UDP port of a socket. */
+struct endpoint {
+    std::string address;
+    std::uint16_t port{};
+
+    [[nodiscard]] friend bool operator==(const endpoint&, const endpoint&) = default;
+};
+
+/** @return The peer endpoint that an id stands for. */
+[[nodiscard]] endpoint to_endpoint(node_id id);
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/shell/http_exchange.hpp
@@ -0,0 +1,59 @@
+#ifndef GOLDCRESTWELL_SHELL_HTTP_EXCHANGE_HPP
+#define GOLDCRESTWELL_SHELL_HTTP_EXCHANGE_HPP
+
+#include "goldcrestwell/core/message/http_answer.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct evhttp_request;
+
+namespace goldcrestwell {
+
+/** @brief One request to a listener and the place for its answer. */
+class http_exchange {
+public:
+    using gone_hook = std::function<void()>;
+
+    explicit http_exchange(evhttp_request* request);
+
+    [[nodiscard]] const std::string& method() const noexcept { return method_; }
+    /** @return Path and query as sent. */
+    [[nodiscard]] const std::string& target() const noexcept { return target_; }
+    [[nodiscard]] const std::vector<http_header>& headers() const noexcept { return headers_; }
+    [[nodiscard]] const std::string& body() const noexcept { return body_; }
+
+    /** @return The path without the query. */
+    [[nodiscard]] std::string_view path() const noexcept;
+
+    /** @return The value of a query parameter, decoded, or nothing. */
+    [[nodiscard]] std::optional<std::string> parameter(const std::string& name) const;
+
+    /** @brief Sends the answer; does nothing if the other end has gone or was answered already. */
+    void reply(const http_answer& answer);
+
+    /** @return True while an answer can still be sent. */
+    [[nodiscard]] bool open() const noexcept { return request_ != nullptr; }
+
+    /** @brief Sets what is called if the other end closes the connection before the answer. */
+    void on_gone(gone_hook hook) { on_gone_ = std::move(hook); }
+
+    /** @brief Called by the listener when the connection has closed. */
+    void mark_gone();
+
+private:
+    evhttp_request* request_;
+    std::string method_;
+    std::string target_;
+    std::vector<http_header> headers_;
+    std::string body_;
+    gone_hook on_gone_;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/shell/http_server.cpp
@@ -0,0 +1,78 @@
+#include "goldcrestwell/shell/http_server.hpp"
+
+#include "goldcrestwell/shell/socket_options.hpp"
+#include "goldcrestwell/shell/timeval.hpp"
+
+#include <event2/http.h>
+#include <event2/util.h>
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr ev_uint16_t served_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+                                       EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
+
+} // namespace
+
+void http_server::http_deleter::operator()(evhttp* handle) const noexcept {
+    evhttp_free(handle);
+}
+
+http_server::http_server(event_loop& loop, http_server_options options)
+    : loop_{loop}, options_{std::move(options)}, handle_{evhttp_new(loop.base())} {
+    evhttp_set_max_headers_size(handle_.get(), static_cast<ev_ssize_t>(options_.max_header_bytes));
+    evhttp_set_max_body_size(handle_.get(), static_cast<ev_ssize_t>(options_.max_body_bytes));
+    const auto timeout = to_timeval(options_.idle_timeout);
+    evhttp_set_timeout_tv(handle_.get(), &timeout);
+    evhttp_set_allowed_methods(handle_.get(), served_methods);
+    const auto on_request = [](evhttp_request* request, void* argument) {
+        static_cast<http_server*>(argument)->serve(request);
+    };
+    evhttp_set_gencb(handle_.get(), on_request, this);
+}
+
+bool http_server::start() {
+    socket_ = evhttp_bind_socket_with_handle(handle_.get(), options_.address.c_str(), options_.port);
+    if (socket_ == nullptr) {
+        return false;
+    }
+    // Accepted sockets inherit the option from the listening one.
+    disable_nagle(evhttp_bound_socket_get_fd(socket_));
+    return true;
+}
+
+void http_server::stop_accepting() {
+    if (socket_ != nullptr) {
+        evhttp_del_accept_socket(handle_.get(), socket_);
+        socket_ = nullptr;
+    }
+}
+
+void http_server::serve(evhttp_request* request) {
+    auto* connection = evhttp_request_get_connection(request);
+    const auto exchange = std::make_shared<http_exchange>(request);
+    const auto on_close = [](evhttp_connection* closed, void* argument) {
+        static_cast<http_server*>(argument)->on_closed(closed);
+    };
+    evhttp_connection_set_closecb(connection, on_close, this);
+    const auto on_complete = [](evhttp_request* completed, void* argument) {
+        auto& self = *static_cast<http_server*>(argument);
+        self.active_.erase(evhttp_request_get_connection(completed));
+    };
+    evhttp_request_set_on_complete_cb(request, on_complete, this);
+    active_.insert_or_assign(connection, exchange);
+    options_.on_request(exchange);
+}
+
+void http_server::on_closed(evhttp_connection* connection) {
+    const auto found = active_.find(connection);
+    if (found == active_.end()) {
+        return;
+    }
+    const auto exchange = std::move(found->second);
+    active_.erase(found);
+    exchange->mark_gone();
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/test/shell/http_connection.cpp
@@ -0,0 +1,91 @@
+#include "goldcrestwell/shell/http_connection.hpp"
+
+#include "goldcrestwell/shell/timer.hpp"
+#include "shell/canned_server.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace goldcrestwell;
+using test::canned_server;
+
+namespace {
+
+constexpr std::size_t max_answer_bytes = 1000;
+constexpr std::chrono::seconds give_up_after{20};
+
+upstream_result request_once(event_loop& loop, const endpoint& server, const std::chrono::milliseconds timeout,
+                             const std::string& method = "GET") {
+    http_connection connection{loop, server, max_answer_bytes};
+    upstream_result received{.outcome = upstream_outcome::not_sent, .answer = {.status = 1}};
+    timer guard{loop, [&loop](time_sample) {
+                    loop.stop();
+                }};
+    guard.arm_after(give_up_after);
+    connection.send({.method = method, .timeout = timeout}, [&](const upstream_result& result) {
+        received = result;
+        loop.stop();
+    });
+    loop.run();
+    return received;
+}
+
+upstream_outcome outcome_of(const std::string& answer, const canned_server::ending end,
+                            const std::string& method = "GET") {
+    event_loop loop;
+    const canned_server server{loop, answer, end};
+    return request_once(loop, server.address(), std::chrono::milliseconds{500}, method).outcome;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(http_client_connection)
+
+// Guards against an answer that loses its status or a part of its body.
+BOOST_AUTO_TEST_CASE(whole_answer_is_passed_on) {
+    event_loop loop;
+    const canned_server server{loop, "HTTP/1.1 201 Created\r\nContent-Length: 5\r\nx-a: b\r\n\r\nhello",
+                               canned_server::ending::stay_open};
+    const auto result = request_once(loop, server.address(), std::chrono::seconds{5});
+    BOOST_TEST((result.outcome == upstream_outcome::answered));
+    BOOST_TEST(result.answer.status == 201U);
+    BOOST_TEST(result.answer.body == "hello");
+    BOOST_TEST(result.answer.headers.size() == 1U);
+}
+
+// Guards against calling a request unsent that may have reached the upstream, and the reverse.
+BOOST_AUTO_TEST_CASE(only_a_refused_connection_counts_as_not_sent) {
+    event_loop loop;
+    endpoint closed_port;
+    {
+        const canned_server server{loop, "", canned_server::ending::close};
+        closed_port = server.address();
+    }
+    const auto result = request_once(loop, closed_port, std::chrono::seconds{5});
+    BOOST_TEST((result.outcome == upstream_outcome::not_sent));
+    BOOST_TEST((outcome_of("", canned_server::ending::close) == upstream_outcome::reset));
+    BOOST_TEST((outcome_of("", canned_server::ending::stay_open) == upstream_outcome::timed_out));
+}
+
+// Guards against passing on an answer whose end is missing.
+BOOST_AUTO_TEST_CASE(cut_answers_are_errors) {
+    const auto close = canned_server::ending::close;
+    BOOST_TEST((outcome_of("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", close) == upstream_outcome::truncated));
+    BOOST_TEST((outcome_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", close) ==
+                upstream_outcome::truncated));
+    BOOST_TEST((outcome_of("HTTP/1.1 200 OK\r\n\r\nhello", close) == upstream_outcome::truncated));
+    BOOST_TEST((outcome_of("HTTP/1.1 2", close) != upstream_outcome::answered));
+}
+
+// Guards against treating the missing body of a HEAD answer as a cut one.
+BOOST_AUTO_TEST_CASE(head_answer_has_no_body) {
+    const std::string answer{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"};
+    BOOST_TEST((outcome_of(answer, canned_server::ending::stay_open, "HEAD") == upstream_outcome::answered));
+}
+
+// Guards against an upstream that fills the node's memory.
+BOOST_AUTO_TEST_CASE(too_large_answer_is_refused) {
+    const std::string answer{"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'x')};
+    BOOST_TEST((outcome_of(answer, canned_server::ending::stay_open) == upstream_outcome::too_large));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
