--- /dev/null
+++ b/src/goldcrestwell/core/node/node_hooks.hpp
@@ -0,0 +1,48 @@
+#ifndef GOLDCRESTWELL_CORE_NODE_NODE_HOOKS_HPP
+#define GOLDCRESTWELL_CORE_NODE_NODE_HOOKS_HPP
+
+#include "goldcrestwell/core/common/attempt_id.hpp"
+#include "goldcrestwell/core/common/invariant_id.hpp"
+#include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/message/call_request.hpp"
+#include "goldcrestwell/core/message/datagram.hpp"
+#include "goldcrestwell/core/message/log_record.hpp"
+#include "goldcrestwell/core/message/peer_message.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+
+namespace goldcrestwell {
+
+/** @brief Effects of a node on the world; every hook must be set and must not call back into the node. */
+struct node_hooks {
+    /** @brief Sends a frame to a peer, opening a connection if there is none. */
+    std::function<void(node_id to, const peer_message& message)> send_frame;
+    /** @brief Sends a datagram to a peer. */
+    std::function<void(node_id to, const datagram& message)> send_datagram;
+    /** @brief Bytes that a datagram takes on the wire. */
+    std::function<std::size_t(const datagram& message)> datagram_size;
+    /** @brief Bytes that a frame takes on the wire. */
+    std::function<std::size_t(const peer_message& message)> frame_size;
+    /** @brief Closes every connection with a peer and opens a new one. */
+    std::function<void(node_id peer)> replace_connection;
+    /** @brief Sends a request to the upstream beside the node. */
+    std::function<void(const attempt_id& id, const call_request& call, std::chrono::milliseconds timeout)>
+        start_upstream;
+    /** @brief Gives up a request to the upstream; no result is reported for it. */
+    std::function<void(const attempt_id& id)> abort_upstream;
+    /** @brief Reads records after an offset, waiting for new ones at most that long. */
+    std::function<void(log_offset after, std::chrono::milliseconds wait)> read_log;
+    /** @brief Appends a record; the answer may be lost, so none is reported. */
+    std::function<void(const log_record& record)> append_record;
+    /** @brief Asks for `node::on_timer` at that time; replaces an earlier request. */
+    std::function<void(steady_time when)> wake_at;
+    /** @brief Reports a violated invariant. */
+    std::function<void(invariant_id id)> invariant_violated;
+};
+
+} // namespace goldcrestwell
+
+#endif
