--- /dev/null
+++ b/src/goldcrestwell/core/config/digest_history.cpp
@@ -0,0 +1,28 @@
+#include "goldcrestwell/core/config/digest_history.hpp"
+
+#include "goldcrestwell/core/config/config_limits.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace goldcrestwell::internal {
+
+void digest_history::add(const log_offset at, const std::uint64_t digest) {
+    entries_.push_back({.at = at, .digest = digest});
+    if (entries_.size() > digest_history_records) {
+        entries_.pop_front();
+    }
+}
+
+void digest_history::reset(const log_offset at, const std::uint64_t digest) {
+    entries_.clear();
+    add(at, digest);
+}
+
+std::optional<std::uint64_t> digest_history::at(const log_offset offset) const noexcept {
+    const auto next = std::upper_bound(entries_.begin(), entries_.end(), offset,
+                                       [](const log_offset value, const entry& item) { return value < item.at; });
+    return next != entries_.begin() ? std::optional{std::prev(next)->digest} : std::nullopt;
+}
+
+} // namespace goldcrestwell::internal
--- /dev/null
+++ b/src/goldcrestwell/core/config/route_state.cpp
@@ -0,0 +1,80 @@
+#include "goldcrestwell/core/config/route_state.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <numeric>
+
+namespace goldcrestwell {
+
+namespace {
+
+std::uint64_t sum_of(const std::vector<version_share>& shares) {
+    return std::accumulate(shares.begin(), shares.end(), std::uint64_t{},
+                           [](const std::uint64_t sum, const version_share& part) { return sum + part.share.value(); });
+}
+
+bool belongs(const table_row& row, const route_state& state) {
+    return row.key.route == state.route && row.values.service == state.service;
+}
+
+} // namespace
+
+const table_row* find_row(const route_state& state, const upstream_version& version) noexcept {
+    const auto place =
+        std::lower_bound(state.rows.begin(), state.rows.end(), version,
+                         [](const table_row& row, const upstream_version& key) { return row.key.version < key; });
+    return place != state.rows.end() && place->key.version == version ? &*place : nullptr;
+}
+
+const rollout_fact* find_fact(const route_state& state, const upstream_version& version) noexcept {
+    const auto place = std::find_if(state.facts.begin(), state.facts.end(),
+                                    [&version](const rollout_fact& fact) { return fact.key.row.version == version; });
+    return place != state.facts.end() ? &*place : nullptr;
+}
+
+std::vector<version_share> target_shares(const std::vector<table_row>& rows) {
+    const auto total =
+        std::accumulate(rows.begin(), rows.end(), std::uint64_t{},
+                        [](const std::uint64_t sum, const table_row& row) { return sum + row.values.weight; });
+    std::vector<version_share> shares;
+    if (total == 0) {
+        return shares;
+    }
+    shares.reserve(rows.size());
+    // Differences of rounded running sums add up to the full share on every node without a correction step.
+    std::uint64_t weight_so_far{};
+    std::uint64_t share_so_far{};
+    for (const auto& row : rows) {
+        weight_so_far += row.values.weight;
+        const auto end = weight_so_far * full_share.value() / total;
+        shares.push_back(
+            {.version = row.key.version, .share = share{static_cast<share::value_type>(end - share_so_far)}});
+        share_so_far = end;
+    }
+    return shares;
+}
+
+share share_of(const std::vector<version_share>& shares, const upstream_version& version) noexcept {
+    const auto place = std::find_if(shares.begin(), shares.end(),
+                                    [&version](const version_share& part) { return part.version == version; });
+    return place != shares.end() ? place->share : share{};
+}
+
+bool references_closed(const route_state& state) {
+    if (state.rows.empty() || state.service.empty() || sum_of(state.base) != full_share.value()) {
+        return false;
+    }
+    const auto rows_belong = std::all_of(state.rows.begin(), state.rows.end(),
+                                         [&state](const table_row& row) { return belongs(row, state); });
+    const auto rows_ordered =
+        std::is_sorted(state.rows.begin(), state.rows.end(), [](const table_row& left, const table_row& right) {
+            return left.key.version <= right.key.version;
+        });
+    const auto facts_belong = std::all_of(state.facts.begin(), state.facts.end(), [&state](const rollout_fact& fact) {
+        const auto* row = find_row(state, fact.key.row.version);
+        return row != nullptr && fact.key.row == row->key && fact.key.row_version == row->row_version;
+    });
+    return rows_belong && rows_ordered && facts_belong && !target_shares(state.rows).empty();
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/config/state_digest.hpp
@@ -0,0 +1,24 @@
+#ifndef GOLDCRESTWELL_CORE_CONFIG_STATE_DIGEST_HPP
+#define GOLDCRESTWELL_CORE_CONFIG_STATE_DIGEST_HPP
+
+#include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/config/route_state.hpp"
+#include "goldcrestwell/core/message/edit_verdict.hpp"
+
+#include <cstdint>
+
+/**
+ * @brief Hashes that detect damaged, incomplete or diverged states; they give no protection against forgery.
+ *
+ * The hash of a table is the sum of the hashes of its routes, so that a change costs no more than the changed routes.
+ */
+namespace goldcrestwell::internal {
+
+[[nodiscard]] std::uint64_t digest_of(const route_state& state);
+[[nodiscard]] std::uint64_t digest_of(const edit_verdict& verdict);
+/** @return Hash of a state and the offset that it covers. */
+[[nodiscard]] std::uint64_t digest_of_state(std::uint64_t table, std::uint64_t verdicts, log_offset covers);
+
+} // namespace goldcrestwell::internal
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/config/table_reducer_options.hpp
@@ -0,0 +1,20 @@
+#ifndef GOLDCRESTWELL_CORE_CONFIG_TABLE_REDUCER_OPTIONS_HPP
+#define GOLDCRESTWELL_CORE_CONFIG_TABLE_REDUCER_OPTIONS_HPP
+
+#include "goldcrestwell/core/common/invariant_monitor.hpp"
+
+#include <cstddef>
+
+namespace goldcrestwell {
+
+/** @brief Settings of a reducer; none of them changes a decision, which must be the same on every node. */
+struct table_reducer_options {
+    /** @brief Estimated bytes of one checkpoint part; must be below the record limit of the log. */
+    std::size_t max_part_bytes{std::size_t{64} * 1024};
+    /** @brief Reports broken invariants; may be null in measurements. */
+    invariant_monitor* invariants{};
+};
+
+} // namespace goldcrestwell
+
+#endif
