Add the rollout engine's interface and first definitions

Change: one type a file under core/rollout: join, stages, schedule, shares, evidence, three sequential tests, the engine with its decisions and statuses.

--- /dev/null
+++ b/src/goldcrestwell/core/rollout/evidence_totals.cpp
@@ -0,0 +1,52 @@
+#include "goldcrestwell/core/rollout/evidence_totals.hpp"
+
+#include <numeric>
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr std::uint64_t slow_calls_in = 20; // one call in 20 lies above the 95th percentile
+
+} // namespace
+
+void evidence_totals::add(const evidence_window& window) noexcept {
+    calls += window.calls;
+    failures += window.failures;
+    for (std::size_t bucket = 0; bucket < latencies.size(); ++bucket) {
+        latencies[bucket] += window.latencies[bucket];
+    }
+}
+
+void evidence_totals::add(const evidence_totals& other) noexcept {
+    calls += other.calls;
+    failures += other.failures;
+    for (std::size_t bucket = 0; bucket < latencies.size(); ++bucket) {
+        latencies[bucket] += other.latencies[bucket];
+    }
+}
+
+std::uint64_t evidence_totals::measured() const noexcept {
+    return std::accumulate(latencies.begin(), latencies.end(), std::uint64_t{});
+}
+
+std::uint64_t evidence_totals::slower_than(const std::size_t bucket) const noexcept {
+    std::uint64_t slower = 0;
+    for (std::size_t above = bucket + 1; above < latencies.size(); ++above) {
+        slower += latencies[above];
+    }
+    return slower;
+}
+
+std::size_t evidence_totals::slow_bucket() const noexcept {
+    const auto allowed = measured() / slow_calls_in;
+    std::uint64_t slower = 0;
+    auto bucket = latencies.size() - 1;
+    while (bucket > 0 && slower + latencies[bucket] <= allowed) {
+        slower += latencies[bucket];
+        --bucket;
+    }
+    return bucket;
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/rollout/fwd.hpp
@@ -0,0 +1,24 @@
+#ifndef GOLDCRESTWELL_CORE_ROLLOUT_FWD_HPP
+#define GOLDCRESTWELL_CORE_ROLLOUT_FWD_HPP
+
+#include <cstdint>
+
+namespace goldcrestwell {
+
+class evidence_collector;
+class move_evidence;
+class rollout_engine;
+struct evidence_totals;
+struct rollout_engine_options;
+struct rollout_input;
+struct route_plan;
+struct row_status;
+struct schedule_limits;
+struct stratum;
+enum class row_reason : std::uint8_t;
+enum class row_state : std::uint8_t;
+enum class verdict : std::uint8_t;
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/rollout/move_record.hpp
@@ -0,0 +1,35 @@
+#ifndef GOLDCRESTWELL_CORE_ROLLOUT_MOVE_RECORD_HPP
+#define GOLDCRESTWELL_CORE_ROLLOUT_MOVE_RECORD_HPP
+
+#include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/message/move_state.hpp"
+#include "goldcrestwell/core/rollout/move_evidence.hpp"
+#include "goldcrestwell/core/rollout/row_reason.hpp"
+
+#include <chrono>
+#include <optional>
+
+namespace goldcrestwell::internal {
+
+/** @brief What one node knows about a move. */
+struct move_record {
+    move_state state;
+    /** @brief Part of the state that the log has recorded. */
+    move_state recorded;
+    /** @brief When this node learned of the present stage. */
+    time_sample stage_since{};
+    /** @brief Since when every condition of the next stage has held. */
+    std::optional<steady_time> ready_since;
+    /** @brief Since when the verdict has been to take the version back. */
+    std::optional<steady_time> suspect_since;
+    /** @brief Why the stage was not raised at the last decision. */
+    row_reason blocked{row_reason::awaiting_proposer};
+    move_evidence evidence;
+    /** @brief Next time at which this node appends the state to the log; unset when nothing is to be appended. */
+    std::optional<steady_time> append_at;
+    std::chrono::milliseconds append_wait{};
+};
+
+} // namespace goldcrestwell::internal
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/rollout/posterior_test.hpp
@@ -0,0 +1,16 @@
+#ifndef GOLDCRESTWELL_CORE_ROLLOUT_POSTERIOR_TEST_HPP
+#define GOLDCRESTWELL_CORE_ROLLOUT_POSTERIOR_TEST_HPP
+
+#include "goldcrestwell/core/rollout/sequential_test.hpp"
+
+namespace goldcrestwell {
+
+/**
+ * @brief Bayesian beta-binomial comparison of the summed strata.
+ * @param certainty Posterior probability of a clearly higher rate at which the candidate is taken back.
+ */
+[[nodiscard]] sequential_test make_posterior_test(double certainty);
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/rollout/rollout_engine.hpp
@@ -0,0 +1,92 @@
+#ifndef GOLDCRESTWELL_CORE_ROLLOUT_ROLLOUT_ENGINE_HPP
+#define GOLDCRESTWELL_CORE_ROLLOUT_ROLLOUT_ENGINE_HPP
+
+#include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/message/call_observation.hpp"
+#include "goldcrestwell/core/message/evidence_report.hpp"
+#include "goldcrestwell/core/message/move_update.hpp"
+#include "goldcrestwell/core/message/version_share.hpp"
+#include "goldcrestwell/core/rollout/evidence_collector.hpp"
+#include "goldcrestwell/core/rollout/move_record.hpp"
+#include "goldcrestwell/core/rollout/rollout_engine_options.hpp"
+#include "goldcrestwell/core/rollout/rollout_input.hpp"
+#include "goldcrestwell/core/rollout/row_status.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief Replica of the moves' states on one node; raises stages and takes faulty versions back. */
+class rollout_engine {
+public:
+    using size_type = std::size_t;
+
+    explicit rollout_engine(rollout_engine_options options);
+
+    /** @brief A new table snapshot is in force. */
+    void on_plans(const rollout_input& input, time_sample now);
+    /** @brief A state arrived from another node; a state that brings news is broadcast again. */
+    void on_update(const move_update& update, time_sample now);
+    void on_evidence(const evidence_report& report, time_sample now);
+    /** @brief Counts a call; called by the node beside the upstream. */
+    void record(const call_observation& observation, time_sample now);
+    void on_timer(time_sample now);
+    [[nodiscard]] std::optional<steady_time> next_timer() const noexcept { return next_tick_; }
+
+    /** @return Shares in force on this node; they sum to `full_share` or are empty for an unknown route. */
+    [[nodiscard]] std::vector<version_share> shares(const route_name& route) const;
+    /** @return All states beyond the initial one, for anti-entropy. */
+    [[nodiscard]] std::vector<move_update> moves() const;
+    /** @return State, share and reason of every row. */
+    [[nodiscard]] std::vector<row_status> statuses(wall_time now) const;
+    /** @return True if the node must refuse a call because the candidate beside it fails call after call. */
+    [[nodiscard]] bool refuses(const row_key& row, time_sample now);
+
+private:
+    using move_map = std::map<move_key, internal::move_record>;
+
+    [[nodiscard]] const internal::move_record* find(const table_row& row) const;
+    [[nodiscard]] const route_plan* find_plan(const route_name& route) const;
+    [[nodiscard]] bool in_table(const move_key& key) const;
+    [[nodiscard]] bool unfinished(const route_plan& plan) const;
+    [[nodiscard]] std::vector<node_id> ranking(const route_plan& plan) const;
+    [[nodiscard]] bool old_version_alive(const route_plan& plan) const;
+    [[nodiscard]] bool bounded(const route_plan& plan, const std::vector<version_share>& shares) const;
+
+    [[nodiscard]] row_status candidate_status(const route_plan& plan, const table_row& row, wall_time now) const;
+    [[nodiscard]] row_status other_status(const route_plan& plan, const table_row& row, share in_force,
+                                          wall_time now) const;
+    [[nodiscard]] row_reason blocked(const internal::move_record& move, const table_row& row, verdict judged,
+                                     time_sample now) const;
+
+    bool merge(const move_key& key, const move_state& state, time_sample now);
+    void change(const move_key& key, const move_state& state, time_sample now);
+    void send_windows(time_sample now);
+    void decide_route(const route_plan& plan, time_sample now);
+    void decide(const route_plan& plan, const table_row& row, size_type rank, time_sample now);
+    /** @return True if the version was taken back, or would be if an old version were alive. */
+    bool take_back_if_faulty(const route_plan& plan, const move_key& key, const judgement& judged, time_sample now);
+    void raise_when_ready(const move_key& key, size_type rank, time_sample now);
+    void append_facts(const route_plan& plan, time_sample now);
+    void append(const move_key& key, internal::move_record& move, size_type rank, time_sample now);
+    void arm(time_sample now);
+
+    rollout_engine_options options_;
+    std::mt19937_64 random_;
+    std::map<route_name, route_plan> plans_;
+    move_map moves_;
+    log_offset position_;
+    evidence_collector collector_;
+    std::optional<steady_time> next_tick_;
+    /** @brief Until then no stage is raised, because the process was paused and may have missed news. */
+    steady_time settled_at_{steady_time::min()};
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/rollout/rollout_input.hpp
@@ -0,0 +1,23 @@
+#ifndef GOLDCRESTWELL_CORE_ROLLOUT_ROLLOUT_INPUT_HPP
+#define GOLDCRESTWELL_CORE_ROLLOUT_ROLLOUT_INPUT_HPP
+
+#include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/message/move_update.hpp"
+#include "goldcrestwell/core/rollout/route_plan.hpp"
+
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief The parts of a table snapshot that the rollout engine needs. */
+struct rollout_input {
+    /** @brief Position in the log that the snapshot covers; states of older unknown rows are dropped. */
+    log_offset position;
+    std::vector<route_plan> plans;
+    /** @brief States of moves that the log has recorded. */
+    std::vector<move_update> recorded;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/rollout/route_plan.hpp
@@ -0,0 +1,26 @@
+#ifndef GOLDCRESTWELL_CORE_ROLLOUT_ROUTE_PLAN_HPP
+#define GOLDCRESTWELL_CORE_ROLLOUT_ROUTE_PLAN_HPP
+
+#include "goldcrestwell/core/common/names.hpp"
+#include "goldcrestwell/core/message/table_row.hpp"
+#include "goldcrestwell/core/message/version_share.hpp"
+
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief What the table says about one route: shares before and after the move, and the rows in force. */
+struct route_plan {
+    route_name route;
+    service_name service;
+    /** @brief Shares before the move; sum to `full_share` or are empty. */
+    std::vector<version_share> base;
+    /** @brief Normalised weights; sum to `full_share` or are empty. */
+    std::vector<version_share> target;
+    /** @brief Rows of the route; a version without a row is being removed. */
+    std::vector<table_row> rows;
+};
+
+} // namespace goldcrestwell
+
+#endif
