Add the public interface of membership

Measured: the core library compiles; nothing else works yet. Conclusion: the interface is stable; behaviour follows.

--- /dev/null
+++ b/src/goldcrestwell/core/membership/membership_options.hpp
@@ -0,0 +1,46 @@
+#ifndef GOLDCRESTWELL_CORE_MEMBERSHIP_MEMBERSHIP_OPTIONS_HPP
+#define GOLDCRESTWELL_CORE_MEMBERSHIP_MEMBERSHIP_OPTIONS_HPP
+
+#include "goldcrestwell/core/common/invariant_monitor.hpp"
+#include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/membership/membership_timing.hpp"
+#include "goldcrestwell/core/message/datagram.hpp"
+#include "goldcrestwell/core/message/peer_message.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief Settings and effects of `membership`; `send_datagram`, `send_frame` and `wire_size` must be set. */
+struct membership_options {
+    using size_type = std::size_t;
+
+    /** @brief This node's record; `incarnation` and `life` are the wall clock at process start. */
+    member self;
+    /** @brief Nodes to contact while no other member is known. */
+    std::vector<node_id> seeds;
+    std::uint64_t seed{};
+    membership_timing timing;
+    /** @brief Control bytes that may be sent in a second. */
+    size_type bytes_per_second{7000};
+
+    std::function<void(node_id to, const datagram&)> send_datagram;
+    /** @brief Sends a `sync_digest` or a `sync_state`. */
+    std::function<void(node_id to, const peer_message&)> send_frame;
+    /** @brief Encoded bytes of a datagram, without IP and UDP headers. */
+    std::function<size_type(const datagram&)> wire_size;
+    std::function<void(const member&)> member_changed;
+    /** @brief Called for each state that is news to this node. */
+    std::function<void(const move_update&)> move_received;
+    std::function<void(node_id from, log_offset position)> position_received;
+    /** @brief All move states, for anti-entropy. */
+    std::function<std::vector<move_update>()> known_moves;
+    invariant_monitor* invariants{};
+};
+
+} // namespace goldcrestwell
+
+#endif
--- a/src/goldcrestwell/core/message/sync_digest.hpp
+++ b/src/goldcrestwell/core/message/sync_digest.hpp
@@ -23,6 +23,8 @@
     std::uint64_t moves{};
     /** @brief The receiver shall send its own records of the data centres that differ. */
     bool reply{};
+    /** @brief Part of the id space that the digests cover, from 1; zero covers all records. */
+    std::uint32_t slice{};
 
     [[nodiscard]] friend bool operator==(const sync_digest&, const sync_digest&) = default;
 };
