Add the call dispatcher and the attempt ledger

Cause: the facade is written against these two classes. Change: call_dispatcher (caller side) with peer_watch for silent connections; attempt_ledger (upstream side) with work_queue and attempt_archive. Conclusion: the interface is ready for the facade; tests follow.

--- /dev/null
+++ b/src/goldcrestwell/core/call/archived_attempt.hpp
@@ -0,0 +1,23 @@
+#ifndef GOLDCRESTWELL_CORE_CALL_ARCHIVED_ATTEMPT_HPP
+#define GOLDCRESTWELL_CORE_CALL_ARCHIVED_ATTEMPT_HPP
+
+#include "goldcrestwell/core/common/refusal_reason.hpp"
+#include "goldcrestwell/core/common/run_state.hpp"
+#include "goldcrestwell/core/message/http_answer.hpp"
+
+#include <memory>
+
+namespace goldcrestwell {
+
+/** @brief What became of an attempt that has ended. */
+struct archived_attempt {
+    /** @brief `none` if it was answered. */
+    refusal_reason reason{};
+    run_state state{};
+    /** @brief The answer, until it is forgotten. */
+    std::shared_ptr<const http_answer> answer;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/call/attempt_archive.cpp
@@ -0,0 +1,84 @@
+#include "goldcrestwell/core/call/attempt_archive.hpp"
+
+#include <algorithm>
+
+namespace goldcrestwell {
+
+namespace {
+
+// Entries that end together expire together: at most one wake-up a second, whatever the number of calls.
+constexpr std::chrono::seconds expiry_slack{1};
+
+} // namespace
+
+void attempt_archive::add(const attempt_id& id, archived_attempt ended, const steady_time now) {
+    const auto bytes = ended.answer ? ended.answer->body.size() : 0;
+    const auto has_answer = ended.answer != nullptr;
+    if (!ended_.emplace(id, std::move(ended)).second) {
+        return;
+    }
+    ids_.emplace_back(now, id);
+    if (!has_answer) {
+        return;
+    }
+    answers_.emplace_back(now, id);
+    answer_bytes_ += bytes;
+    while (answer_bytes_ > options_.max_answer_bytes && answers_.size() > 1) {
+        forget_answer();
+    }
+}
+
+const archived_attempt* attempt_archive::find(const attempt_id& id) const {
+    const auto found = ended_.find(id);
+    return found == ended_.end() ? nullptr : &found->second;
+}
+
+bool attempt_archive::may_be_forgotten(const attempt_id& id) const {
+    const auto found = floors_.find(id.origin.value());
+    if (found == floors_.end() || id.life > found->second.life) {
+        return false;
+    }
+    return id.life < found->second.life || id.sequence <= found->second.sequence;
+}
+
+void attempt_archive::raise_floor(const attempt_id& id) {
+    auto& floor = floors_[id.origin.value()];
+    if (id.life > floor.life) {
+        floor = {.life = id.life, .sequence = id.sequence};
+    } else if (id.life == floor.life) {
+        floor.sequence = std::max(floor.sequence, id.sequence);
+    }
+}
+
+void attempt_archive::forget_answer() {
+    if (const auto found = ended_.find(answers_.front().second); found != ended_.end()) {
+        answer_bytes_ -= found->second.answer->body.size();
+        found->second.answer.reset();
+    }
+    answers_.pop_front();
+}
+
+void attempt_archive::expire(const steady_time now) {
+    while (!answers_.empty() && answers_.front().first + options_.keep_answers <= now) {
+        forget_answer();
+    }
+    while (!ids_.empty() && ids_.front().first + options_.keep_ids <= now) {
+        raise_floor(ids_.front().second);
+        ended_.erase(ids_.front().second);
+        ids_.pop_front();
+    }
+}
+
+std::optional<steady_time> attempt_archive::next_timer() const {
+    std::optional<steady_time> next;
+    if (!ids_.empty()) {
+        next = ids_.front().first + options_.keep_ids;
+    }
+    if (!answers_.empty()) {
+        const auto answer = answers_.front().first + options_.keep_answers;
+        next = next ? std::min(*next, answer) : answer;
+    }
+    return next ? std::optional{*next + expiry_slack} : std::nullopt;
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -0,0 +1,308 @@
+#include "goldcrestwell/core/call/attempt_ledger.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace goldcrestwell {
+
+namespace {
+
+// Each call moves the average by an eighth: it follows a change within some ten calls and is not moved by one.
+constexpr int service_time_weight = 8;
+
+row_key row_of(const attempt_request& request) {
+    return {.route = request.route, .version = request.version};
+}
+
+bool serves(const upstream_info& upstream, const attempt_request& request) {
+    return upstream.service == request.service && upstream.version == request.version;
+}
+
+call_result to_result(const upstream_result& result, const bool aborted) {
+    const auto unknown = [aborted](const refusal_reason reason) {
+        return call_refusal{.reason = aborted ? refusal_reason::cancelled : reason, .state = run_state::unknown};
+    };
+    switch (result.outcome) {
+    case upstream_outcome::answered:
+        return result.answer;
+    case upstream_outcome::not_sent:
+        return call_refusal{.reason = refusal_reason::upstream_unreachable, .state = run_state::not_run};
+    case upstream_outcome::timed_out:
+        return unknown(refusal_reason::upstream_timeout);
+    case upstream_outcome::truncated:
+        return unknown(refusal_reason::answer_truncated);
+    case upstream_outcome::too_large:
+        return unknown(refusal_reason::answer_too_large);
+    case upstream_outcome::reset:
+        break;
+    }
+    return unknown(refusal_reason::upstream_reset);
+}
+
+archived_attempt to_archive(const call_result& result) {
+    if (const auto* refusal = std::get_if<call_refusal>(&result)) {
+        return {.reason = refusal->reason, .state = refusal->state, .answer = nullptr};
+    }
+    return {.reason = refusal_reason::none,
+            .state = run_state::ran,
+            .answer = std::make_shared<const http_answer>(std::get<http_answer>(result))};
+}
+
+} // namespace
+
+attempt_ledger::attempt_ledger(attempt_ledger_options options)
+    : options_{std::move(options)}, archive_{{.keep_ids = options_.keep_ids,
+                                              .max_ids = options_.max_ids,
+                                              .keep_answers = options_.keep_answers,
+                                              .max_answer_bytes = options_.max_answer_bytes}} {}
+
+void attempt_ledger::set_upstream(std::optional<upstream_info> upstream, const time_sample now) {
+    if (draining_ && !active_.empty()) {
+        // The drain finishes what was accepted for the upstream that accepted it.
+        return;
+    }
+    const auto same =
+        upstream && upstream_ && upstream->service == upstream_->service && upstream->version == upstream_->version;
+    if (!same) {
+        upstream_since_ = now.steady;
+        service_time_ = {};
+    }
+    upstream_ = std::move(upstream);
+    refuse_mismatched(now.steady);
+    start_next(now.steady);
+}
+
+void attempt_ledger::refuse_mismatched(const steady_time now) {
+    std::vector<attempt_id> mismatched;
+    for (const auto& [id, item] : active_) {
+        if (!item.running && !(upstream_ && serves(*upstream_, item.request))) {
+            mismatched.push_back(id);
+        }
+    }
+    // Hash order differs between runs of a program; replies keep a fixed order.
+    std::ranges::sort(mismatched);
+    const auto reason = upstream_ ? refusal_reason::wrong_upstream : refusal_reason::no_upstream;
+    for (const auto& id : mismatched) {
+        refuse_queued(active_.find(id), reason, now);
+    }
+}
+
+void attempt_ledger::on_request(const node_id from, const attempt_request& request, const time_sample now) {
+    const auto& id = request.id;
+    if (from != id.origin) {
+        options_.counts->drops.add(drop_reason::unknown_sender);
+        return;
+    }
+    if (request.target_life != options_.life) {
+        options_.counts->attempt_refusals.add(refusal_reason::wrong_life);
+        send_result(id, call_refusal{.reason = refusal_reason::wrong_life, .state = run_state::not_run});
+        return;
+    }
+    if (active_.contains(id)) {
+        // The copy that came first is in progress and gets the only reply.
+        options_.counts->attempt_refusals.add(refusal_reason::duplicate);
+        return;
+    }
+    archive_.expire(now.steady);
+    if (const auto* ended = archive_.find(id)) {
+        const auto late = ended->reason == refusal_reason::never_seen_before;
+        options_.counts->attempt_refusals.add(late ? ended->reason : refusal_reason::duplicate);
+        repeat(id, *ended);
+        return;
+    }
+    if (archive_.may_be_forgotten(id)) {
+        options_.counts->attempt_refusals.add(refusal_reason::duplicate);
+        send_result(id, call_refusal{.reason = refusal_reason::duplicate, .state = run_state::unknown});
+        return;
+    }
+    if (const auto reason = admission(request); reason != refusal_reason::none) {
+        refuse_new(id, reason, now.steady);
+        return;
+    }
+    enqueue(request, now.steady);
+    start_next(now.steady);
+}
+
+refusal_reason attempt_ledger::admission(const attempt_request& request) const {
+    if (draining_) {
+        return refusal_reason::draining;
+    }
+    if (!upstream_) {
+        return refusal_reason::no_upstream;
+    }
+    if (!serves(*upstream_, request)) {
+        return refusal_reason::wrong_upstream;
+    }
+    if (request.call.timeout <= std::chrono::milliseconds{}) {
+        return refusal_reason::deadline_passed;
+    }
+    if (archive_.size() + active_.size() >= options_.max_ids) {
+        return refusal_reason::queue_full;
+    }
+    if (capacity() == 0) {
+        return refusal_reason::connection_limit;
+    }
+    if (options_.refuses && options_.refuses(row_of(request))) {
+        return refusal_reason::upstream_failing;
+    }
+    return queue_verdict(request);
+}
+
+refusal_reason attempt_ledger::queue_verdict(const attempt_request& request) const {
+    const auto row = row_of(request);
+    const auto row_slots = row_capacity(request.limits);
+    if (running_ < capacity() && queue_.running(row) < row_slots) {
+        return refusal_reason::none;
+    }
+    const auto waiting = queue_.queued(row);
+    const auto row_full = request.limits.max_queue != 0 && waiting >= request.limits.max_queue;
+    if (row_full || queue_.size() >= options_.max_queue) {
+        return refusal_reason::queue_full;
+    }
+    if (!options_.deadline_aware) {
+        return refusal_reason::none;
+    }
+    const auto turns =
+        std::max(static_cast<double>(queue_.size() + 1) / capacity(), static_cast<double>(waiting + 1) / row_slots);
+    const std::chrono::duration<double, std::micro> expected = service_time_ * (turns + 1.0);
+    return expected > request.call.timeout ? refusal_reason::deadline_passed : refusal_reason::none;
+}
+
+void attempt_ledger::enqueue(const attempt_request& request, const steady_time now) {
+    entry item{.request = request};
+    item.deadline = now + request.call.timeout;
+    deadlines_.emplace(item.deadline, request.id);
+    queue_.push(row_of(request), request.id);
+    active_.emplace(request.id, std::move(item));
+}
+
+void attempt_ledger::start_next(const steady_time now) {
+    const auto limit = [this](const attempt_id& id) {
+        return row_capacity(active_.at(id).request.limits);
+    };
+    while (upstream_ && running_ < capacity()) {
+        const auto id = queue_.pop(limit);
+        if (!id) {
+            return;
+        }
+        const auto found = active_.find(*id);
+        // With nothing running, the call is tried even if it looks too late, so that the estimate can recover.
+        const auto needed = options_.deadline_aware && running_ > 0 ? service_time_ : std::chrono::microseconds{};
+        if (found->second.deadline <= now + needed) {
+            refuse_queued(found, refusal_reason::deadline_passed, now);
+            continue;
+        }
+        run(*id, found->second, now);
+    }
+}
+
+void attempt_ledger::run(const attempt_id& id, entry& item, const steady_time now) {
+    const auto unused = !item.running && archive_.find(id) == nullptr;
+    if (!options_.invariants->check(invariant_id::at_most_once, unused)) {
+        return;
+    }
+    deadlines_.erase({item.deadline, id});
+    item.running = true;
+    item.started = now;
+    item.cold = now - upstream_since_ < options_.cold_time;
+    ++running_;
+    queue_.on_started(row_of(item.request));
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(item.deadline - now);
+    item.request.call.timeout = std::max(left, std::chrono::milliseconds{1});
+    options_.start_upstream(id, item.request.call, item.request.call.timeout);
+    item.request.call = {};
+}
+
+void attempt_ledger::on_query(const node_id from, const attempt_query& query, const time_sample now) {
+    const auto& id = query.id;
+    if (from != id.origin) {
+        options_.counts->drops.add(drop_reason::unknown_sender);
+        return;
+    }
+    auto progress = attempt_progress::lost;
+    if (query.target_life != options_.life) {
+        progress = attempt_progress::lost;
+    } else if (const auto found = active_.find(id); found != active_.end()) {
+        progress = found->second.running ? attempt_progress::running : attempt_progress::queued;
+    } else if (const auto* ended = archive_.find(id)) {
+        repeat(id, *ended);
+        return;
+    } else if (!archive_.may_be_forgotten(id)) {
+        progress = attempt_progress::never_seen;
+        refuse_new(id, refusal_reason::never_seen_before, now.steady);
+        return;
+    }
+    options_.send(from, attempt_status{.id = id, .progress = progress});
+}
+
+void attempt_ledger::on_cancel(const node_id from, const attempt_cancel& cancel, const time_sample now) {
+    const auto& id = cancel.id;
+    if (from != id.origin) {
+        options_.counts->drops.add(drop_reason::unknown_sender);
+        return;
+    }
+    const auto found = active_.find(id);
+    if (found == active_.end()) {
+        // The request may still be on its way; it is refused when it arrives.
+        if (archive_.find(id) == nullptr && !archive_.may_be_forgotten(id)) {
+            refuse_new(id, refusal_reason::cancelled, now.steady);
+        }
+        return;
+    }
+    if (!found->second.running) {
+        queue_.erase(row_of(found->second.request), id);
+        refuse_queued(found, refusal_reason::cancelled, now.steady);
+        return;
+    }
+    if (!std::exchange(found->second.aborted, true)) {
+        options_.abort_upstream(id);
+    }
+}
+
+void attempt_ledger::on_upstream_result(const attempt_id& id, const upstream_result& result, const time_sample now) {
+    const auto found = active_.find(id);
+    if (found == active_.end() || !found->second.running) {
+        options_.counts->drops.add(drop_reason::late_reply);
+        return;
+    }
+    const auto item = std::move(found->second);
+    active_.erase(found);
+    --running_;
+    queue_.on_finished(row_of(item.request));
+    learn_service_time(item, result, now.steady);
+    observe(item, result, now.steady);
+    const auto outcome = to_result(result, item.aborted);
+    archive_.add(id, to_archive(outcome), now.steady);
+    if (const auto* refusal = std::get_if<call_refusal>(&outcome)) {
+        options_.counts->attempt_refusals.add(refusal->reason);
+    }
+    send_result(id, outcome);
+    start_next(now.steady);
+}
+
+void attempt_ledger::learn_service_time(const entry& item, const upstream_result& result, const steady_time now) {
+    if (result.outcome == upstream_outcome::not_sent || item.aborted) {
+        return;
+    }
+    const auto taken = now - item.started;
+    const auto known = service_time_ > std::chrono::microseconds{};
+    service_time_ = known ? service_time_ + (taken - service_time_) / service_time_weight : taken;
+}
+
+void attempt_ledger::observe(const entry& item, const upstream_result& result, const steady_time now) {
+    // An aborted call or one that never reached the upstream says nothing about the version.
+    if (!options_.observe || item.aborted || result.outcome == upstream_outcome::not_sent) {
+        return;
+    }
+    const auto failed = result.outcome != upstream_outcome::answered || result.answer.status >= 500;
+    options_.observe({.row = row_of(item.request), .failed = failed, .latency = now - item.started, .cold = item.cold});
+}
+
+void attempt_ledger::drain(const time_sample now) {
+    draining_ = true;
+    start_next(now.steady);
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/call/attempt_ledger.hpp
@@ -0,0 +1,85 @@
+#ifndef GOLDCRESTWELL_CORE_CALL_ATTEMPT_LEDGER_HPP
+#define GOLDCRESTWELL_CORE_CALL_ATTEMPT_LEDGER_HPP
+
+#include "goldcrestwell/core/call/attempt_archive.hpp"
+#include "goldcrestwell/core/call/attempt_hash.hpp"
+#include "goldcrestwell/core/call/attempt_ledger_options.hpp"
+#include "goldcrestwell/core/call/work_queue.hpp"
+#include "goldcrestwell/core/common/attempt_id.hpp"
+#include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/message/attempt_request.hpp"
+#include "goldcrestwell/core/message/upstream_info.hpp"
+#include "goldcrestwell/core/message/upstream_result.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace goldcrestwell {
+
+/** @brief Upstream side of calls: runs each attempt at most once and remembers what became of it. */
+class attempt_ledger {
+public:
+    using size_type = std::size_t;
+
+    explicit attempt_ledger(attempt_ledger_options options);
+
+    /** @param upstream The upstream beside this node; nothing if it has gone. */
+    void set_upstream(std::optional<upstream_info> upstream, time_sample now);
+    void on_request(node_id from, const attempt_request& request, time_sample now);
+    void on_query(node_id from, const attempt_query& query, time_sample now);
+    void on_cancel(node_id from, const attempt_cancel& cancel, time_sample now);
+    void on_upstream_result(const attempt_id& id, const upstream_result& result, time_sample now);
+    /** @brief Refuses new attempts from now on and finishes those accepted. */
+    void drain(time_sample now);
+    void on_timer(time_sample now);
+    [[nodiscard]] std::optional<steady_time> next_timer() const;
+    /** @return Attempts queued and running. */
+    [[nodiscard]] size_type in_progress() const noexcept { return active_.size(); }
+
+private:
+    struct entry {
+        attempt_request request;
+        steady_time deadline{};
+        steady_time started{};
+        bool running{};
+        bool cold{};
+        bool aborted{};
+    };
+    using entry_map = std::unordered_map<attempt_id, entry, attempt_hash>;
+
+    [[nodiscard]] refusal_reason admission(const attempt_request& request) const;
+    [[nodiscard]] refusal_reason queue_verdict(const attempt_request& request) const;
+    void enqueue(const attempt_request& request, steady_time now);
+    void start_next(steady_time now);
+    void run(const attempt_id& id, entry& item, steady_time now);
+    void refuse_new(const attempt_id& id, refusal_reason reason, steady_time now);
+    void refuse_queued(entry_map::iterator found, refusal_reason reason, steady_time now);
+    void repeat(const attempt_id& id, const archived_attempt& ended);
+    void refuse_mismatched(steady_time now);
+    void learn_service_time(const entry& item, const upstream_result& result, steady_time now);
+    void send_result(const attempt_id& id, const call_result& result);
+    void observe(const entry& item, const upstream_result& result, steady_time now);
+    [[nodiscard]] std::uint32_t capacity() const;
+    [[nodiscard]] std::uint32_t row_capacity(const row_limits& limits) const;
+
+    attempt_ledger_options options_;
+    std::optional<upstream_info> upstream_;
+    steady_time upstream_since_{};
+    entry_map active_;
+    work_queue queue_;
+    attempt_archive archive_;
+    std::set<std::pair<steady_time, attempt_id>> deadlines_;
+    /** @brief Recent service time of the upstream, exponentially averaged. */
+    std::chrono::microseconds service_time_{};
+    size_type running_{};
+    bool draining_{};
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/call/attempt_ledger_replies.cpp
@@ -0,0 +1,102 @@
+#include "goldcrestwell/core/call/attempt_ledger.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr std::uint32_t default_slots = 10;
+
+} // namespace
+
+std::uint32_t attempt_ledger::capacity() const {
+    if (!upstream_) {
+        return 0;
+    }
+    const auto slots = upstream_->slots == 0 ? default_slots : upstream_->slots;
+    return upstream_->connections == 0 ? slots : std::min(slots, upstream_->connections);
+}
+
+std::uint32_t attempt_ledger::row_capacity(const row_limits& limits) const {
+    // Each running call has a connection to itself, so the limit on connections limits the calls too.
+    auto limit = std::numeric_limits<std::uint32_t>::max();
+    for (const auto each : {limits.max_in_flight, limits.max_connections}) {
+        limit = each == 0 ? limit : std::min(limit, each);
+    }
+    return limit;
+}
+
+void attempt_ledger::refuse_new(const attempt_id& id, const refusal_reason reason, const steady_time now) {
+    if (!options_.invariants->check(invariant_id::refusal_truthful, !active_.contains(id))) {
+        return;
+    }
+    options_.counts->attempt_refusals.add(reason);
+    if (archive_.size() + active_.size() >= options_.max_ids) {
+        archive_.raise_floor(id);
+    } else {
+        archive_.add(id, {.reason = reason, .state = run_state::not_run, .answer = nullptr}, now);
+    }
+    if (reason == refusal_reason::never_seen_before) {
+        options_.send(id.origin, attempt_status{.id = id, .progress = attempt_progress::never_seen});
+        return;
+    }
+    send_result(id, call_refusal{.reason = reason, .state = run_state::not_run});
+}
+
+void attempt_ledger::refuse_queued(const entry_map::iterator found, const refusal_reason reason,
+                                   const steady_time now) {
+    const auto id = found->first;
+    const auto& item = found->second;
+    if (!options_.invariants->check(invariant_id::refusal_truthful, !item.running)) {
+        return;
+    }
+    const auto allowed = reason == refusal_reason::deadline_passed || reason == refusal_reason::cancelled;
+    if (!options_.invariants->check(invariant_id::drain_cuts_nothing, !draining_ || allowed)) {
+        return;
+    }
+    queue_.erase({.route = item.request.route, .version = item.request.version}, id);
+    deadlines_.erase({item.deadline, id});
+    active_.erase(found);
+    options_.counts->attempt_refusals.add(reason);
+    archive_.add(id, {.reason = reason, .state = run_state::not_run, .answer = nullptr}, now);
+    send_result(id, call_refusal{.reason = reason, .state = run_state::not_run});
+}
+
+void attempt_ledger::repeat(const attempt_id& id, const archived_attempt& ended) {
+    if (ended.answer) {
+        send_result(id, *ended.answer);
+        return;
+    }
+    // Without the answer all that can be said is that the request ran.
+    const auto reason = ended.reason == refusal_reason::none ? refusal_reason::duplicate : ended.reason;
+    send_result(id, call_refusal{.reason = reason, .state = ended.state});
+}
+
+void attempt_ledger::send_result(const attempt_id& id, const call_result& result) {
+    const auto load = static_cast<std::uint32_t>(running_ + queue_.size());
+    options_.send(id.origin, attempt_reply{.id = id, .result = result, .load = load});
+}
+
+void attempt_ledger::on_timer(const time_sample now) {
+    archive_.expire(now.steady);
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now.steady) {
+        const auto id = deadlines_.begin()->second;
+        deadlines_.erase(deadlines_.begin());
+        if (const auto found = active_.find(id); found != active_.end()) {
+            refuse_queued(found, refusal_reason::deadline_passed, now.steady);
+        }
+    }
+}
+
+std::optional<steady_time> attempt_ledger::next_timer() const {
+    auto next = archive_.next_timer();
+    if (!deadlines_.empty()) {
+        const auto deadline = deadlines_.begin()->first;
+        next = next ? std::min(*next, deadline) : deadline;
+    }
+    return next;
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/call/call_dispatcher.cpp
@@ -0,0 +1,246 @@
+#include "goldcrestwell/core/call/call_dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+// Two losses without a frame in between mean that the host, not one connection, is gone or cut off.
+constexpr std::uint32_t losses_of_a_dead_peer = 2;
+
+retry_reason reason_of(const call_refusal& refusal) {
+    if (refusal.state == run_state::not_run) {
+        return refusal.reason == refusal_reason::never_seen_before ? retry_reason::never_seen
+                                                                   : retry_reason::not_run_elsewhere;
+    }
+    return refusal.reason == refusal_reason::upstream_timeout ? retry_reason::idempotent_timeout
+                                                              : retry_reason::idempotent_upstream_failure;
+}
+
+/** @return What a result says about the node; refusals by its limits say nothing against it. */
+selection_outcome outcome_of(const call_result& result) {
+    if (const auto* answer = std::get_if<http_answer>(&result)) {
+        return answer->status >= 500 ? selection_outcome::failure : selection_outcome::success;
+    }
+    const auto& refusal = std::get<call_refusal>(result);
+    switch (refusal.reason) {
+    case refusal_reason::queue_full:
+    case refusal_reason::deadline_passed:
+    case refusal_reason::cancelled:
+    case refusal_reason::duplicate:
+    case refusal_reason::never_seen_before:
+    case refusal_reason::bad_request:
+    case refusal_reason::request_too_large:
+        return selection_outcome::neutral;
+    default:
+        return selection_outcome::failure;
+    }
+}
+
+} // namespace
+
+call_dispatcher::call_dispatcher(call_dispatcher_options options)
+    : options_{std::move(options)}, random_{options_.seed}, peers_{options_.heartbeat_after, options_.silent_after} {}
+
+refusal_reason call_dispatcher::check_request(const call_request& request) const {
+    if (calls_.size() >= options_.max_calls) {
+        return refusal_reason::queue_full;
+    }
+    return request.hops >= options_.max_hops ? refusal_reason::too_many_hops : refusal_reason::none;
+}
+
+call_id call_dispatcher::start(call_request request, const time_sample now) {
+    const auto key = ++last_call_;
+    ++options_.counts->calls;
+    if (const auto reason = check_request(request); reason != refusal_reason::none) {
+        reply_refusal(key, reason, run_state::not_run);
+        return call_id{key};
+    }
+    auto route = options_.find_route(request.target);
+    if (!route) {
+        reply_refusal(key, refusal_reason::no_route, run_state::not_run);
+        return call_id{key};
+    }
+    const auto timeout = request.timeout > std::chrono::milliseconds{} ? request.timeout : options_.default_timeout;
+    ++request.hops;
+    service(route->service).retries.on_call(now);
+    const auto found = calls_.emplace(key, call_state{}).first;
+    auto& state = found->second;
+    state.request = std::move(request);
+    state.route = std::move(*route);
+    state.deadline = now.steady + std::min(timeout, options_.longest_timeout);
+    const auto sent = send_attempt(key, state, true, now);
+    deadlines_.emplace(state.deadline, key);
+    if (!sent) {
+        refuse(found, refusal_reason::no_upstream, run_state::not_run);
+    }
+    return call_id{key};
+}
+
+void call_dispatcher::cancel(const call_id call, const time_sample now) {
+    const auto found = calls_.find(call.value());
+    if (found == calls_.end()) {
+        return;
+    }
+    const auto& state = found->second;
+    options_.send(state.current.target, attempt_cancel{.id = id_of(state.current)});
+    end_attempt(state, state.current, selection_outcome::neutral, now);
+    deadlines_.erase({state.deadline, found->first});
+    calls_.erase(found);
+}
+
+call_dispatcher::call_map::iterator call_dispatcher::find_attempt(const node_id from, const attempt_id& id) {
+    if (id.origin != options_.self || id.life != options_.life) {
+        options_.counts->drops.add(drop_reason::crossed_reply);
+        return calls_.end();
+    }
+    const auto known = attempts_.find(id.sequence);
+    if (known == attempts_.end()) {
+        options_.counts->drops.add(drop_reason::late_reply);
+        return calls_.end();
+    }
+    const auto found = calls_.find(known->second);
+    if (found->second.current.target != from) {
+        options_.counts->drops.add(drop_reason::crossed_reply);
+        return calls_.end();
+    }
+    const auto matches =
+        options_.invariants->check(invariant_id::answer_matches_call, found->second.current.sequence == id.sequence);
+    return matches ? found : calls_.end();
+}
+
+void call_dispatcher::on_reply(const node_id from, const attempt_reply& reply, const time_sample now) {
+    on_heard(from, now);
+    const auto found = find_attempt(from, reply.id);
+    if (found == calls_.end()) {
+        return;
+    }
+    auto& state = found->second;
+    selector(state.route.service, state.current.version).on_load(from, reply.load, now.steady);
+    end_attempt(state, state.current, outcome_of(reply.result), now);
+    if (const auto* refusal = std::get_if<call_refusal>(&reply.result)) {
+        on_refusal(found, *refusal, reason_of(*refusal), now);
+        return;
+    }
+    ++options_.counts->answered;
+    finish(found, reply.result);
+}
+
+void call_dispatcher::on_status(const node_id from, const attempt_status& status, const time_sample now) {
+    on_heard(from, now);
+    const auto found = find_attempt(from, status.id);
+    if (found == calls_.end()) {
+        return;
+    }
+    auto& state = found->second;
+    switch (status.progress) {
+    case attempt_progress::queued:
+    case attempt_progress::running:
+        return;
+    case attempt_progress::never_seen:
+        end_attempt(state, state.current, selection_outcome::neutral, now);
+        on_refusal(found, {.reason = refusal_reason::never_seen_before, .state = run_state::not_run},
+                   retry_reason::never_seen, now);
+        return;
+    case attempt_progress::lost:
+        end_attempt(state, state.current, selection_outcome::failure, now);
+        on_refusal(found, {.reason = refusal_reason::peer_restarted, .state = run_state::unknown},
+                   retry_reason::idempotent_peer_lost, now);
+        return;
+    }
+}
+
+void call_dispatcher::on_heard(const node_id from, const time_sample now) {
+    peers_.on_heard(from, now.steady);
+}
+
+void call_dispatcher::on_not_sent(const attempt_id& id, const time_sample now) {
+    const auto known = attempts_.find(id.sequence);
+    if (id.origin != options_.self || id.life != options_.life || known == attempts_.end()) {
+        return;
+    }
+    const auto found = calls_.find(known->second);
+    end_attempt(found->second, found->second.current, selection_outcome::failure, now);
+    on_refusal(found, {.reason = refusal_reason::peer_unreachable, .state = run_state::not_run},
+               retry_reason::peer_unreachable, now);
+}
+
+void call_dispatcher::on_connection_lost(const node_id peer, const time_sample now) {
+    on_loss(peer, peers_.on_lost(peer, now.steady), now);
+}
+
+void call_dispatcher::on_loss(const node_id peer, const bool query, const time_sample now) {
+    if (peers_.losses(peer) == losses_of_a_dead_peer) {
+        retry_idempotent(peer, now);
+    }
+    if (query) {
+        query_attempts(peer);
+    }
+}
+
+void call_dispatcher::query_attempts(const node_id peer) {
+    for (const auto sequence : peers_.outstanding(peer)) {
+        const auto& current = calls_.at(attempts_.at(sequence)).current;
+        options_.send(peer, attempt_query{.id = id_of(current), .target_life = current.target_life});
+    }
+}
+
+void call_dispatcher::retry_idempotent(const node_id peer, const time_sample now) {
+    for (const auto sequence : peers_.outstanding(peer)) {
+        const auto found = calls_.find(attempts_.at(sequence));
+        if (!found->second.current.idempotent) {
+            continue;
+        }
+        const auto old = found->second.current;
+        const auto could_have_run = std::exchange(found->second.may_have_run, true);
+        if (retry(found, retry_reason::idempotent_peer_lost, now) != refusal_reason::none) {
+            found->second.may_have_run = could_have_run;
+            continue;
+        }
+        options_.send(peer, attempt_cancel{.id = id_of(old)});
+        end_attempt(found->second, old, selection_outcome::failure, now);
+    }
+}
+
+void call_dispatcher::on_deadlines(const time_sample now) {
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now.steady) {
+        const auto found = calls_.find(deadlines_.begin()->second);
+        const auto& state = found->second;
+        const auto lost = peers_.losses(state.current.target) > 0;
+        options_.send(state.current.target, attempt_cancel{.id = id_of(state.current)});
+        end_attempt(state, state.current, lost ? selection_outcome::failure : selection_outcome::neutral, now);
+        refuse(found, lost ? refusal_reason::peer_lost : refusal_reason::deadline_passed, run_state::unknown);
+    }
+}
+
+void call_dispatcher::on_peer_timers(const time_sample now) {
+    while (const auto due = peers_.next_due(now.steady)) {
+        const auto [peer, action] = *due;
+        if (action == peer_action::send_heartbeat) {
+            options_.send(peer, heartbeat{});
+        } else if (action == peer_action::replace_connection) {
+            options_.replace_connection(peer);
+            on_loss(peer, true, now);
+        } else if (action == peer_action::query) {
+            query_attempts(peer);
+        }
+    }
+}
+
+void call_dispatcher::on_timer(const time_sample now) {
+    on_deadlines(now);
+    on_peer_timers(now);
+}
+
+std::optional<steady_time> call_dispatcher::next_timer() const {
+    auto next = peers_.next_timer();
+    if (!deadlines_.empty()) {
+        const auto deadline = deadlines_.begin()->first;
+        next = next ? std::min(*next, deadline) : deadline;
+    }
+    return next;
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/call/fwd.hpp
@@ -0,0 +1,14 @@
+#ifndef GOLDCRESTWELL_CORE_CALL_FWD_HPP
+#define GOLDCRESTWELL_CORE_CALL_FWD_HPP
+
+namespace goldcrestwell {
+
+struct attempt_ledger_options;
+struct call_dispatcher_options;
+struct route_view;
+class attempt_ledger;
+class call_dispatcher;
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/call/peer_watch.cpp
@@ -0,0 +1,121 @@
+#include "goldcrestwell/core/call/peer_watch.hpp"
+
+#include <algorithm>
+
+namespace goldcrestwell {
+
+namespace {
+
+// Refused connections come back within a fraction of a millisecond; the pause keeps retries of queries from using the
+// processor while a host is down.
+constexpr std::chrono::milliseconds first_pause{50};
+constexpr std::uint32_t most_doublings = 4;
+
+} // namespace
+
+steady_time peer_watch::due(const state& peer) const {
+    // A heartbeat that was not answered is followed by the replacement of the connection, not by more heartbeats.
+    const auto silent = std::max(peer.heard, peer.connected) + silent_after_;
+    const auto beat = std::max({peer.heard, peer.connected, peer.heartbeat}) + heartbeat_after_;
+    auto next = std::min(silent, beat);
+    if (peer.query_at) {
+        next = std::min(next, *peer.query_at);
+    }
+    return next;
+}
+
+void peer_watch::arm(const std::uint64_t key, state& peer) {
+    timers_.erase({peer.timer, key});
+    peer.timer = due(peer);
+    timers_.emplace(peer.timer, key);
+}
+
+void peer_watch::add(const node_id peer, const std::uint64_t sequence, const steady_time now) {
+    auto& item = peers_[peer.value()];
+    if (item.outstanding.empty()) {
+        item.heard = std::max(item.heard, now);
+        item.connected = now;
+        arm(peer.value(), item);
+    }
+    item.outstanding.insert(sequence);
+}
+
+void peer_watch::remove(const node_id peer, const std::uint64_t sequence) {
+    const auto found = peers_.find(peer.value());
+    if (found == peers_.end()) {
+        return;
+    }
+    found->second.outstanding.erase(sequence);
+    if (found->second.outstanding.empty()) {
+        timers_.erase({found->second.timer, peer.value()});
+        peers_.erase(found);
+    }
+}
+
+void peer_watch::on_heard(const node_id peer, const steady_time now) {
+    if (const auto found = peers_.find(peer.value()); found != peers_.end()) {
+        // The timer stays: it finds the later time when it fires, so a frame costs no change of the timer set.
+        found->second.heard = std::max(found->second.heard, now);
+        found->second.losses = 0;
+    }
+}
+
+bool peer_watch::on_lost(const node_id peer, const steady_time now) {
+    const auto found = peers_.find(peer.value());
+    if (found == peers_.end()) {
+        return false;
+    }
+    auto& item = found->second;
+    item.connected = now;
+    ++item.losses;
+    if (item.losses > 1) {
+        const auto doublings = std::min(item.losses - 2, most_doublings);
+        item.query_at = now + first_pause * (1U << doublings);
+    }
+    arm(found->first, item);
+    return item.losses == 1;
+}
+
+std::vector<std::uint64_t> peer_watch::outstanding(const node_id peer) const {
+    const auto found = peers_.find(peer.value());
+    if (found == peers_.end()) {
+        return {};
+    }
+    return {found->second.outstanding.begin(), found->second.outstanding.end()};
+}
+
+std::uint32_t peer_watch::losses(const node_id peer) const {
+    const auto found = peers_.find(peer.value());
+    return found == peers_.end() ? 0 : found->second.losses;
+}
+
+std::optional<std::pair<node_id, peer_action>> peer_watch::next_due(const steady_time now) {
+    if (timers_.empty() || timers_.begin()->first > now) {
+        return std::nullopt;
+    }
+    const auto key = timers_.begin()->second;
+    auto& item = peers_.at(key);
+    auto action = peer_action::none;
+    if (item.query_at && *item.query_at <= now) {
+        item.query_at.reset();
+        action = peer_action::query;
+    } else if (std::max(item.heard, item.connected) + silent_after_ <= now) {
+        item.connected = now;
+        ++item.losses;
+        action = peer_action::replace_connection;
+    } else if (std::max({item.heard, item.connected, item.heartbeat}) + heartbeat_after_ <= now) {
+        item.heartbeat = now;
+        action = peer_action::send_heartbeat;
+    }
+    arm(key, item);
+    return std::pair{node_id{key}, action};
+}
+
+std::optional<steady_time> peer_watch::next_timer() const {
+    if (timers_.empty()) {
+        return std::nullopt;
+    }
+    return timers_.begin()->first;
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/call/peer_watch.hpp
@@ -0,0 +1,65 @@
+#ifndef GOLDCRESTWELL_CORE_CALL_PEER_WATCH_HPP
+#define GOLDCRESTWELL_CORE_CALL_PEER_WATCH_HPP
+
+#include "goldcrestwell/core/common/node_id.hpp"
+#include "goldcrestwell/core/common/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief What is to be done about a peer now. */
+enum class peer_action : std::uint8_t { none, send_heartbeat, replace_connection, query };
+
+/** @brief Watches the connections to peers that have attempts outstanding. */
+class peer_watch {
+public:
+    using size_type = std::size_t;
+
+    peer_watch(std::chrono::milliseconds heartbeat_after, std::chrono::milliseconds silent_after)
+        : heartbeat_after_{heartbeat_after}, silent_after_{silent_after} {}
+
+    void add(node_id peer, std::uint64_t sequence, steady_time now);
+    void remove(node_id peer, std::uint64_t sequence);
+    void on_heard(node_id peer, steady_time now);
+    /** @return True if the attempts should be queried at once; otherwise `on_timer` says when. */
+    [[nodiscard]] bool on_lost(node_id peer, steady_time now);
+
+    /** @return Outstanding attempts in the order of their sequence. */
+    [[nodiscard]] std::vector<std::uint64_t> outstanding(node_id peer) const;
+    /** @return Broken or silent connections since the last frame. */
+    [[nodiscard]] std::uint32_t losses(node_id peer) const;
+    /** @return A peer whose timer has passed and what to do about it. */
+    [[nodiscard]] std::optional<std::pair<node_id, peer_action>> next_due(steady_time now);
+    [[nodiscard]] std::optional<steady_time> next_timer() const;
+
+private:
+    struct state {
+        std::set<std::uint64_t> outstanding;
+        steady_time heard{};
+        steady_time connected{};
+        steady_time heartbeat{};
+        std::optional<steady_time> query_at;
+        steady_time timer{};
+        std::uint32_t losses{};
+    };
+
+    [[nodiscard]] steady_time due(const state& peer) const;
+    void arm(std::uint64_t key, state& peer);
+
+    std::unordered_map<std::uint64_t, state> peers_;
+    std::set<std::pair<steady_time, std::uint64_t>> timers_;
+    std::chrono::milliseconds heartbeat_after_;
+    std::chrono::milliseconds silent_after_;
+};
+
+} // namespace goldcrestwell
+
+#endif
