Join the modules in the node facade

Cause: a front end needs one object that takes events and gives effects. Change: core::node wires membership, follower, rollout, dispatcher and ledger by hooks; hooks that would call back into a module go through a queue that is emptied before an event returns; edits are appended again until their verdict is read back. Measured: compiles against the modules' interfaces; behaviour follows with the real processes. Conclusion: no module knows another one.

--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -1,22 +1,206 @@
 #include "goldcrestwell/core/node/node.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace goldcrestwell {
 
-node::node(node_options options) : options_{std::move(options)} {}
+node::node(node_options options)
+    : options_{std::move(options)}, invariants_{options_.hooks.invariant_violated}, candidates_{options_.data_centre},
+      membership_{make_membership_options()}, follower_{make_follower_options()}, rollout_{make_rollout_options()},
+      dispatcher_{make_dispatcher_options()}, ledger_{make_ledger_options()}, edits_{
+                                                                                  {.append_record =
+                                                                                       options_.hooks.append_record}} {}
 
-call_id node::on_call(call_request /*call*/, reply_hook reply, const time_sample /*now*/) {
+void node::start(const time_sample now) {
+    now_ = now;
+    membership_.start(now);
+    follower_.start(now);
+    settle();
+}
+
+call_id node::on_call(call_request call, reply_hook reply_to, const time_sample now) {
+    now_ = now;
     ++counts_.calls;
-    counts_.refusals.add(refusal_reason::not_ready);
-    reply(call_refusal{.reason = refusal_reason::not_ready, .state = run_state::not_run});
-    return call_id{++last_call_};
+    if (drain_started_) {
+        refuse(reply_to, refusal_reason::draining);
+        return call_id{};
+    }
+    if (!ready()) {
+        refuse(reply_to, refusal_reason::not_ready);
+        return call_id{};
+    }
+    const auto id = dispatcher_.start(std::move(call), now);
+    callers_.emplace(id, waiting_caller{.reply = std::move(reply_to), .since = now.steady});
+    settle();
+    return id;
+}
+
+void node::on_call_cancelled(const call_id call, const time_sample now) {
+    now_ = now;
+    callers_.erase(call);
+    dispatcher_.cancel(call, now);
+    settle();
+}
+
+void node::on_peer_message(const node_id from, const peer_message& message, const time_sample now) {
+    now_ = now;
+    dispatcher_.on_heard(from, now);
+    std::visit([this, from](const auto& alternative) { handle(from, alternative); }, message);
+    settle();
+}
+
+void node::on_peer_lost(const node_id peer, const time_sample now) {
+    now_ = now;
+    dispatcher_.on_connection_lost(peer, now);
+    settle();
+}
+
+void node::on_datagram(const datagram& message, const time_sample now) {
+    now_ = now;
+    membership_.on_datagram(message, now);
+    settle();
 }
 
-void node::on_call_cancelled(const call_id /*call*/, const time_sample /*now*/) {}
+void node::on_log_batch(const record_batch& batch, const time_sample now) {
+    now_ = now;
+    follower_.on_log_batch(batch, now);
+    settle();
+}
+
+void node::on_log_failure(const time_sample now) {
+    now_ = now;
+    follower_.on_log_failure(now);
+    settle();
+}
+
+void node::on_upstream_result(const attempt_id& id, const upstream_result& result, const time_sample now) {
+    now_ = now;
+    ledger_.on_upstream_result(id, result, now);
+    settle();
+}
+
+void node::on_announce(const upstream_info& upstream, const time_sample now) {
+    now_ = now;
+    announcement_expires_ = now.steady + options_.announcement_expiry;
+    if (drain_started_) {
+        return;
+    }
+    if (upstream_ != upstream) {
+        upstream_ = upstream;
+        ledger_.set_upstream(upstream, now);
+        membership_.announce(upstream, now);
+    }
+    settle();
+}
+
+void node::on_withdraw(const time_sample now) {
+    now_ = now;
+    if (upstream_) {
+        upstream_.reset();
+        membership_.withdraw(now);
+        ledger_.set_upstream(std::nullopt, now);
+    }
+    settle();
+}
+
+void node::on_edit(const table_edit& edit, edit_tracker::decision_hook decided, const time_sample now) {
+    now_ = now;
+    edits_.submit(edit, std::move(decided), now.steady);
+    settle();
+}
+
+void node::on_timer(const time_sample now) {
+    now_ = now;
+    armed_timer_.reset();
+    membership_.on_timer(now);
+    follower_.on_timer(now);
+    rollout_.on_timer(now);
+    dispatcher_.on_timer(now);
+    ledger_.on_timer(now);
+    edits_.on_timer(now.steady);
+    if (upstream_ && now.steady >= announcement_expires_) {
+        on_withdraw(now);
+    }
+    settle();
+}
+
+void node::on_drain(const time_sample now) {
+    now_ = now;
+    if (!drain_started_) {
+        drain_started_ = now.steady;
+        membership_.leave(now);
+        ledger_.drain(now);
+    }
+    settle();
+}
+
+bool node::drained(const time_sample now) const noexcept {
+    return drain_started_ && now.steady - *drain_started_ >= options_.drain_linger && in_progress() == 0;
+}
+
+std::size_t node::in_progress() const noexcept {
+    return dispatcher_.in_progress() + ledger_.in_progress();
+}
+
+void node::depart(const time_sample now) {
+    now_ = now;
+    invariants_.check(invariant_id::drain_cuts_nothing, !drain_started_ || in_progress() == 0);
+    membership_.depart(now);
+    settle();
+}
+
+void node::settle() {
+    if (std::exchange(settling_, true)) {
+        return;
+    }
+    advertise_position();
+    while (!tasks_.empty()) {
+        const auto work = std::move(tasks_.front());
+        tasks_.pop_front();
+        work();
+        advertise_position();
+    }
+    settling_ = false;
+    if (ready() && !std::exchange(ready_reported_, true)) {
+        options_.hooks.event(became_ready{.position = follower_.position()});
+    }
+    update_timer();
+}
+
+void node::advertise_position() {
+    if (follower_.position() > advertised_position_) {
+        advertised_position_ = follower_.position();
+        membership_.set_position(advertised_position_, now_);
+    }
+}
+
+void node::update_timer() {
+    const auto next = next_timer();
+    if (next && next != armed_timer_) {
+        armed_timer_ = next;
+        options_.hooks.wake_at(*next);
+    }
+}
 
-bool node::ready() const noexcept {
-    return false;
+std::optional<steady_time> node::next_timer() const {
+    std::optional<steady_time> next;
+    const auto consider = [&next](const std::optional<steady_time> due) {
+        if (due && (!next || *due < *next)) {
+            next = due;
+        }
+    };
+    consider(membership_.next_timer());
+    consider(follower_.next_timer());
+    consider(rollout_.next_timer());
+    consider(dispatcher_.next_timer());
+    consider(ledger_.next_timer());
+    consider(edits_.next_timer());
+    if (upstream_) {
+        consider(announcement_expires_);
+    }
+    return next;
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -1,45 +1,172 @@
 #ifndef GOLDCRESTWELL_CORE_NODE_NODE_HPP
 #define GOLDCRESTWELL_CORE_NODE_NODE_HPP
 
+#include "goldcrestwell/core/call/attempt_ledger.hpp"
+#include "goldcrestwell/core/call/call_dispatcher.hpp"
 #include "goldcrestwell/core/common/call_id.hpp"
 #include "goldcrestwell/core/common/counters.hpp"
+#include "goldcrestwell/core/common/invariant_monitor.hpp"
+#include "goldcrestwell/core/common/latency_summary.hpp"
 #include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/config/config_follower.hpp"
+#include "goldcrestwell/core/membership/membership.hpp"
 #include "goldcrestwell/core/message/call_request.hpp"
 #include "goldcrestwell/core/message/call_result.hpp"
+#include "goldcrestwell/core/message/table_edit.hpp"
+#include "goldcrestwell/core/message/upstream_result.hpp"
+#include "goldcrestwell/core/node/candidate_index.hpp"
+#include "goldcrestwell/core/node/edit_tracker.hpp"
 #include "goldcrestwell/core/node/node_options.hpp"
+#include "goldcrestwell/core/rollout/rollout_engine.hpp"
+#include "goldcrestwell/core/routing/route_table.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace goldcrestwell {
 
-/** @brief Joins the modules of the core: events come in as calls with the time, effects go out through hooks. */
+/**
+ * @brief Joins the modules of the core: events come in as calls with the time, effects go out through hooks.
+ *
+ * Hooks of the modules queue what would call back into a module; the queue is emptied before an event returns.
+ */
 class node {
 public:
     using reply_hook = std::function<void(const call_result&)>;
 
     explicit node(node_options options);
 
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    void start(time_sample now);
+
     /**
      * @brief A caller's request.
      * @param call The request; its time-out counts from now.
-     * @param reply Called exactly once, perhaps before this function returns.
+     * @param reply Called at most once, perhaps before this function returns; not called for a cancelled call.
      * @return Number of the call, for `on_call_cancelled`.
      */
     call_id on_call(call_request call, reply_hook reply, time_sample now);
-
     /** @brief The caller of a call has gone; nobody waits for its result. */
     void on_call_cancelled(call_id call, time_sample now);
 
+    void on_peer_message(node_id from, const peer_message& message, time_sample now);
+    /** @brief The last connection with a peer has closed. */
+    void on_peer_lost(node_id peer, time_sample now);
+    void on_datagram(const datagram& message, time_sample now);
+    void on_log_batch(const record_batch& batch, time_sample now);
+    void on_log_failure(time_sample now);
+    void on_upstream_result(const attempt_id& id, const upstream_result& result, time_sample now);
+
+    /** @brief The upstream beside the node announced itself, or repeated its announcement. */
+    void on_announce(const upstream_info& upstream, time_sample now);
+    /** @brief The upstream beside the node takes no more work. */
+    void on_withdraw(time_sample now);
+    /** @brief An operator's edit; the hook gets the verdict, or nothing if the outcome is unknown. */
+    void on_edit(const table_edit& edit, edit_tracker::decision_hook decided, time_sample now);
+    void on_timer(time_sample now);
+    /** @brief Refuses new work from now on and finishes the rest. */
+    void on_drain(time_sample now);
+
     /** @return True if the node has a configuration that it may serve. */
-    [[nodiscard]] bool ready() const noexcept;
+    [[nodiscard]] bool ready() const noexcept { return follower_.ready(); }
+    /** @return True once a drain is complete and the process may end. */
+    [[nodiscard]] bool drained(time_sample now) const noexcept;
+    /** @return Calls that would be cut if the process ended now. */
+    [[nodiscard]] std::size_t in_progress() const noexcept;
+    /** @brief Tells the other nodes that the process ends. */
+    void depart(time_sample now);
 
+    [[nodiscard]] const node_options& options() const noexcept { return options_; }
     [[nodiscard]] const counters& counts() const noexcept { return counts_; }
+    [[nodiscard]] counters& counts() noexcept { return counts_; }
+    [[nodiscard]] const invariant_monitor& invariants() const noexcept { return invariants_; }
+    [[nodiscard]] const latency_summary& call_latency() const noexcept { return call_latency_; }
+    [[nodiscard]] const membership& members() const noexcept { return membership_; }
+    [[nodiscard]] const config_follower& follower() const noexcept { return follower_; }
+    [[nodiscard]] const rollout_engine& rollout() const noexcept { return rollout_; }
+    [[nodiscard]] const std::optional<upstream_info>& upstream() const noexcept { return upstream_; }
 
 private:
+    using task = std::function<void()>;
+    struct waiting_caller {
+        reply_hook reply;
+        steady_time since;
+    };
+
+    [[nodiscard]] membership_options make_membership_options();
+    [[nodiscard]] config_follower_options make_follower_options();
+    [[nodiscard]] rollout_engine_options make_rollout_options();
+    [[nodiscard]] call_dispatcher_options make_dispatcher_options();
+    [[nodiscard]] attempt_ledger_options make_ledger_options();
+
+    void queue(task work) { tasks_.push_back(std::move(work)); }
+    /** @brief Runs what the hooks queued, then passes on the position and asks for the next timer. */
+    void settle();
+    void advertise_position();
+    void update_timer();
+    [[nodiscard]] std::optional<steady_time> next_timer() const;
+
+    void handle(node_id from, const hello& message);
+    void handle(node_id from, const heartbeat& message);
+    void handle(node_id from, const heartbeat_ack& message);
+    void handle(node_id from, const attempt_request& message);
+    void handle(node_id from, const attempt_reply& message);
+    void handle(node_id from, const attempt_query& message);
+    void handle(node_id from, const attempt_status& message);
+    void handle(node_id from, const attempt_cancel& message);
+    void handle(node_id from, const config_pull& message);
+    void handle(node_id from, const record_batch& message);
+    void handle(node_id from, const evidence_report& message);
+    void handle(node_id from, const sync_digest& message);
+    void handle(node_id from, const sync_state& message);
+
+    /** @brief Sends a frame of a call; to this node itself it goes through the queue. */
+    void send_call_frame(node_id to, const peer_message& message);
+    void send_control_frame(node_id to, const peer_message& message, control_priority priority);
+    void send_evidence(node_id to, const evidence_report& report);
+    void on_snapshot(const std::shared_ptr<const table_snapshot>& snapshot);
+    void on_member(const member& record);
+    void on_verdict(const edit_verdict& verdict);
+    void reply(call_id call, const call_result& result);
+    void refuse(const reply_hook& hook, refusal_reason reason);
+    [[nodiscard]] bool taking_work(node_id target) const;
+    [[nodiscard]] std::optional<route_view> find_route(std::string_view path) const;
+    [[nodiscard]] row_terms terms_of(const row_key& key) const;
+
     node_options options_;
+    /** @brief Time of the event being served, for hooks that need it. */
+    time_sample now_{};
     counters counts_;
-    std::uint64_t last_call_{};
+    latency_summary call_latency_;
+    invariant_monitor invariants_;
+    std::deque<task> tasks_;
+    bool settling_{};
+
+    candidate_index candidates_;
+    std::shared_ptr<const table_snapshot> snapshot_;
+    route_table routes_;
+    membership membership_;
+    config_follower follower_;
+    rollout_engine rollout_;
+    call_dispatcher dispatcher_;
+    attempt_ledger ledger_;
+    edit_tracker edits_;
+
+    std::map<call_id, waiting_caller> callers_;
+    std::optional<upstream_info> upstream_;
+    steady_time announcement_expires_{};
+    std::optional<steady_time> drain_started_;
+    log_offset advertised_position_;
+    bool ready_reported_{};
+    std::optional<steady_time> armed_timer_;
 };
 
 } // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -0,0 +1,138 @@
+// What the node does with frames of other nodes and with news of its own modules.
+
+#include "goldcrestwell/core/node/node.hpp"
+#include "goldcrestwell/core/node/rollout_plans.hpp"
+
+#include <utility>
+
+namespace goldcrestwell {
+
+void node::handle(const node_id /*from*/, const hello& /*message*/) {}
+
+void node::handle(const node_id from, const heartbeat& /*message*/) {
+    options_.hooks.send_frame(from, heartbeat_ack{});
+}
+
+void node::handle(const node_id /*from*/, const heartbeat_ack& /*message*/) {}
+
+void node::handle(const node_id from, const attempt_request& message) {
+    ledger_.on_request(from, message, now_);
+}
+
+void node::handle(const node_id from, const attempt_reply& message) {
+    dispatcher_.on_reply(from, message, now_);
+}
+
+void node::handle(const node_id from, const attempt_query& message) {
+    ledger_.on_query(from, message, now_);
+}
+
+void node::handle(const node_id from, const attempt_status& message) {
+    dispatcher_.on_status(from, message, now_);
+}
+
+void node::handle(const node_id from, const attempt_cancel& message) {
+    ledger_.on_cancel(from, message, now_);
+}
+
+void node::handle(const node_id from, const config_pull& message) {
+    follower_.on_pull(from, message, now_);
+}
+
+void node::handle(const node_id from, const record_batch& message) {
+    follower_.on_peer_batch(from, message, now_);
+}
+
+void node::handle(const node_id /*from*/, const evidence_report& message) {
+    rollout_.on_evidence(message, now_);
+}
+
+void node::handle(const node_id from, const sync_digest& message) {
+    membership_.on_sync(from, message, now_);
+}
+
+void node::handle(const node_id from, const sync_state& message) {
+    membership_.on_sync(from, message, now_);
+}
+
+void node::send_call_frame(const node_id to, const peer_message& message) {
+    if (std::holds_alternative<attempt_request>(message)) {
+        invariants_.check(invariant_id::leaving_gets_no_work, taking_work(to));
+    }
+    if (to != options_.self) {
+        options_.hooks.send_frame(to, message);
+        return;
+    }
+    queue([this, message] {
+        std::visit([this](const auto& alternative) { handle(options_.self, alternative); }, message);
+    });
+}
+
+void node::send_control_frame(const node_id to, const peer_message& message, const control_priority priority) {
+    // Configuration is sent even when the budget is used up; other control traffic then waits.
+    static_cast<void>(membership_.spend(options_.hooks.frame_size(message), priority, now_));
+    options_.hooks.send_frame(to, message);
+}
+
+void node::send_evidence(const node_id to, const evidence_report& report) {
+    if (to == options_.self) {
+        queue([this, report] { rollout_.on_evidence(report, now_); });
+        return;
+    }
+    if (membership_.spend(options_.hooks.frame_size(report), control_priority::evidence, now_)) {
+        options_.hooks.send_frame(to, report);
+    }
+}
+
+void node::on_snapshot(const std::shared_ptr<const table_snapshot>& snapshot) {
+    snapshot_ = snapshot;
+    routes_ = to_route_table(*snapshot);
+    rollout_.on_plans(to_rollout_input(*snapshot, follower_.position()), now_);
+    options_.hooks.event(table_changed{.version = snapshot->version(), .rows = snapshot->row_count()});
+}
+
+void node::on_member(const member& record) {
+    candidates_.update(record, now_.steady);
+    options_.hooks.event(record);
+}
+
+void node::on_verdict(const edit_verdict& verdict) {
+    invariants_.check(invariant_id::accepted_in_force,
+                      !verdict.accepted() || follower_.reducer().snapshot()->version() >= verdict.at);
+    options_.hooks.event(verdict);
+    edits_.on_verdict(verdict);
+}
+
+void node::reply(const call_id call, const call_result& result) {
+    auto waiting = callers_.extract(call);
+    if (waiting.empty()) {
+        return;
+    }
+    call_latency_.add(now_.steady - waiting.mapped().since);
+    waiting.mapped().reply(result);
+}
+
+void node::refuse(const reply_hook& hook, const refusal_reason reason) {
+    counts_.refusals.add(reason);
+    hook(call_refusal{.reason = reason, .state = run_state::not_run});
+}
+
+bool node::taking_work(const node_id target) const {
+    const auto* record = membership_.find(target);
+    return record != nullptr && record->status == member_status::alive && record->upstream.has_value();
+}
+
+std::optional<route_view> node::find_route(const std::string_view path) const {
+    const auto* entry = routes_.find(path);
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    return route_view{.route = entry->route, .service = entry->service};
+}
+
+row_terms node::terms_of(const row_key& key) const {
+    const auto* row = snapshot_ == nullptr ? nullptr : snapshot_->find_row(key);
+    return row == nullptr ? row_terms{} : row_terms{.limits = row->values.limits, .idempotent = row->values.idempotent};
+}
+
+} // namespace goldcrestwell
--- a/src/goldcrestwell/core/node/node_hooks.hpp
+++ b/src/goldcrestwell/core/node/node_hooks.hpp
@@ -9,6 +9,7 @@
 #include "goldcrestwell/core/message/datagram.hpp"
 #include "goldcrestwell/core/message/log_record.hpp"
 #include "goldcrestwell/core/message/peer_message.hpp"
+#include "goldcrestwell/core/node/node_event.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -31,7 +32,7 @@
     /** @brief Sends a request to the upstream beside the node. */
     std::function<void(const attempt_id& id, const call_request& call, std::chrono::milliseconds timeout)>
         start_upstream;
-    /** @brief Gives up a request to the upstream; no result is reported for it. */
+    /** @brief Ends a request to the upstream early; its result still comes through `node::on_upstream_result`. */
     std::function<void(const attempt_id& id)> abort_upstream;
     /** @brief Reads records after an offset, waiting for new ones at most that long. */
     std::function<void(log_offset after, std::chrono::milliseconds wait)> read_log;
@@ -39,6 +40,8 @@
     std::function<void(const log_record& record)> append_record;
     /** @brief Asks for `node::on_timer` at that time; replaces an earlier request. */
     std::function<void(steady_time when)> wake_at;
+    /** @brief Reports something worth a log line. */
+    std::function<void(const node_event& event)> event;
     /** @brief Reports a violated invariant. */
     std::function<void(invariant_id id)> invariant_violated;
 };
--- a/src/goldcrestwell/core/node/node_options.hpp
+++ b/src/goldcrestwell/core/node/node_options.hpp
@@ -4,14 +4,42 @@
 #include "goldcrestwell/core/common/incarnation.hpp"
 #include "goldcrestwell/core/common/names.hpp"
 #include "goldcrestwell/core/common/node_id.hpp"
+#include "goldcrestwell/core/membership/membership_timing.hpp"
 #include "goldcrestwell/core/node/node_hooks.hpp"
+#include "goldcrestwell/core/rollout/schedule_limits.hpp"
+#include "goldcrestwell/core/routing/retry_budget.hpp"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
 namespace goldcrestwell {
 
-/** @brief Identity, limits and effects of a node. */
+/** @brief Limits of calls. */
+struct call_limits {
+    std::chrono::milliseconds default_timeout{10'000};
+    std::uint32_t max_hops{8};
+    std::uint32_t max_retries{2};
+    retry_budget_options retries;
+};
+
+/** @brief Settings of moves. */
+struct move_settings {
+    schedule_limits schedule;
+    /** @brief Interval of evidence reports and of decisions. */
+    std::chrono::milliseconds tick{1'000};
+    /** @brief Calls of the candidate needed at each stage. */
+    std::uint32_t minimum_samples{20};
+};
+
+/** @brief Settings of the follower of the log. */
+struct log_settings {
+    std::chrono::milliseconds retention{std::chrono::hours{24}};
+    std::chrono::milliseconds long_poll{20'000};
+};
+
+/** @brief Identity, settings and effects of a node. */
 struct node_options {
     node_id self;
     incarnation life;
@@ -20,6 +48,16 @@
     std::vector<node_id> seeds;
     /** @brief Seed of every random decision. */
     std::uint64_t seed{1};
+    membership_timing membership;
+    /** @brief Control bytes that may be sent in a second. */
+    std::size_t control_bytes_per_second{7'000};
+    call_limits calls;
+    move_settings moves;
+    log_settings log;
+    /** @brief Time without an announcement after which the upstream counts as gone. */
+    std::chrono::milliseconds announcement_expiry{5'000};
+    /** @brief A draining node keeps refusing for this long, so that other nodes learn that it leaves. */
+    std::chrono::milliseconds drain_linger{3'000};
     node_hooks hooks;
 };
 
--- /dev/null
+++ b/src/goldcrestwell/core/node/node_wiring.cpp
@@ -0,0 +1,125 @@
+// Hooks that join the modules. A hook that would change another module queues the change, because the module that
+// calls it may itself have been called by that other module.
+
+#include "goldcrestwell/core/node/node.hpp"
+
+#include <utility>
+
+namespace goldcrestwell {
+
+membership_options node::make_membership_options() {
+    return {.self = {.id = options_.self,
+                     .life = options_.life,
+                     .incarnation = options_.life,
+                     .data_centre = options_.data_centre,
+                     .region = options_.region},
+            .seeds = options_.seeds,
+            .seed = options_.seed,
+            .timing = options_.membership,
+            .bytes_per_second = options_.control_bytes_per_second,
+            .send_datagram = options_.hooks.send_datagram,
+            .send_frame = options_.hooks.send_frame,
+            .wire_size = options_.hooks.datagram_size,
+            .member_changed = [this](const member& record) { queue([this, record] { on_member(record); }); },
+            .move_received =
+                [this](const move_update& update) { queue([this, update] { rollout_.on_update(update, now_); }); },
+            .position_received =
+                [this](const node_id from, const log_offset position) {
+                    queue([this, from, position] { follower_.on_peer_position(from, position, now_); });
+                },
+            .known_moves = [this] { return rollout_.moves(); },
+            .invariants = &invariants_};
+}
+
+config_follower_options node::make_follower_options() {
+    return {
+        .self = options_.self,
+        .seed = options_.seed,
+        .retention = options_.log.retention,
+        .long_poll = options_.log.long_poll,
+        .read_log = options_.hooks.read_log,
+        .append_record = options_.hooks.append_record,
+        .send_pull = [this](const node_id to,
+                            const config_pull& pull) { send_control_frame(to, pull, control_priority::position); },
+        .send_batch = [this](const node_id to,
+                             const record_batch& batch) { send_control_frame(to, batch, control_priority::position); },
+        .data_centre_peers = [this] { return membership_.alive_in(options_.data_centre); },
+        .all_peers = [this] { return membership_.alive(); },
+        .snapshot_changed =
+            [this](std::shared_ptr<const table_snapshot> snapshot) {
+                queue([this, changed = std::move(snapshot)] { on_snapshot(changed); });
+            },
+        .edit_decided = [this](const edit_verdict& verdict) { queue([this, verdict] { on_verdict(verdict); }); },
+        .counts = &counts_,
+        .invariants = &invariants_};
+}
+
+rollout_engine_options node::make_rollout_options() {
+    return {.self = options_.self,
+            .seed = options_.seed,
+            .schedule = options_.moves.schedule,
+            .tick = options_.moves.tick,
+            .minimum_samples = options_.moves.minimum_samples,
+            .broadcast =
+                [this](const move_update& update) {
+                    options_.hooks.event(update);
+                    queue([this, update] { membership_.broadcast(update, update.state.taken_back, now_); });
+                },
+            .send_evidence = [this](const node_id to, const evidence_report& report) { send_evidence(to, report); },
+            .append_fact = [this](const rollout_fact& fact) { options_.hooks.append_record(fact); },
+            .service_nodes = [this](const service_name& service) { return membership_.service_nodes(service); },
+            .has_upstream =
+                [this](const service_name& service, const upstream_version& version) {
+                    return !membership_.upstreams(service, version).empty();
+                },
+            .invariants = &invariants_};
+}
+
+call_dispatcher_options node::make_dispatcher_options() {
+    return {.self = options_.self,
+            .life = options_.life,
+            .seed = options_.seed,
+            .default_timeout = options_.calls.default_timeout,
+            .max_hops = options_.calls.max_hops,
+            .max_retries = options_.calls.max_retries,
+            .retries = options_.calls.retries,
+            .selection = {.seed = options_.seed},
+            .find_route = [this](const std::string_view path) { return find_route(path); },
+            .terms = [this](const row_key& key) { return terms_of(key); },
+            .shares = [this](const route_name& route) { return rollout_.shares(route); },
+            .candidates = [this](const service_name& service,
+                                 const upstream_version& version) { return candidates_.find(service, version); },
+            .life_of =
+                [this](const node_id target) {
+                    const auto* record = membership_.find(target);
+                    return record != nullptr ? record->life : incarnation{};
+                },
+            .send = [this](const node_id to, const peer_message& message) { send_call_frame(to, message); },
+            .replace_connection =
+                [this](const node_id peer) {
+                    if (peer != options_.self) {
+                        options_.hooks.replace_connection(peer);
+                    }
+                },
+            .reply = [this](const call_id call,
+                            const call_result& result) { queue([this, call, result] { reply(call, result); }); },
+            .counts = &counts_,
+            .invariants = &invariants_};
+}
+
+attempt_ledger_options node::make_ledger_options() {
+    return {.self = options_.self,
+            .life = options_.life,
+            .send = [this](const node_id to, const peer_message& message) { send_call_frame(to, message); },
+            .start_upstream = options_.hooks.start_upstream,
+            .abort_upstream = options_.hooks.abort_upstream,
+            .observe =
+                [this](const call_observation& observation) {
+                    queue([this, observation] { rollout_.record(observation, now_); });
+                },
+            .refuses = [this](const row_key& row) { return rollout_.refuses(row, now_); },
+            .counts = &counts_,
+            .invariants = &invariants_};
+}
+
+} // namespace goldcrestwell
