Add peer connections, gossip socket, log client and the daemon

Cause: the core's effects need sockets round it. Change: frames over TCP with hello, UDP datagrams, the platform's log over HTTP, a pool of connections to the upstream, one-line structured logs, the admin listener with status, metrics, edits and announcements. Conclusion: the shell moves bytes and decides nothing.

--- /dev/null
+++ b/src/goldcrestwell/shell/log_client.cpp
@@ -0,0 +1,86 @@
+#include "goldcrestwell/shell/log_client.hpp"
+
+#include "goldcrestwell/codec/log_batch_codec.hpp"
+#include "goldcrestwell/codec/record_codec.hpp"
+#include "goldcrestwell/codec/wire_limits.hpp"
+
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr std::uint32_t status_ok = 200;
+
+bool succeeded(const upstream_result& result) {
+    return result.outcome == upstream_outcome::answered && result.answer.status == status_ok;
+}
+
+} // namespace
+
+log_client::log_client(event_loop& loop, log_client_options options) : loop_{loop}, options_{std::move(options)} {}
+
+void log_client::read(const log_offset after, const std::chrono::milliseconds wait) {
+    const auto target = stream_target() + "?after=" + std::to_string(after.value()) +
+                        "&wait_ms=" + std::to_string(wait.count()) +
+                        "&max=" + std::to_string(options_.max_records_per_read);
+    usable(reader_).send({.target = target, .timeout = wait + options_.request_timeout},
+                         [this, after](const upstream_result& result) { on_read(after, result); });
+}
+
+void log_client::append(const log_record& record) {
+    if (waiting_appends_.size() >= options_.max_waiting_appends) {
+        waiting_appends_.pop_front();
+        options_.on_appended(false);
+    }
+    waiting_appends_.push_back(encode(record));
+    send_next_append();
+}
+
+void log_client::on_read(const log_offset after, const upstream_result& result) {
+    if (!succeeded(result)) {
+        options_.on_read_failed();
+        return;
+    }
+    log_batch_decoder decoder;
+    const auto batch = decoder.decode(result.answer.body, after);
+    if (!batch) {
+        options_.on_read_failed();
+        return;
+    }
+    options_.on_batch(*batch);
+}
+
+void log_client::send_next_append() {
+    if (append_in_progress_ || waiting_appends_.empty()) {
+        return;
+    }
+    append_in_progress_ = true;
+    auto body = std::move(waiting_appends_.front());
+    waiting_appends_.pop_front();
+    usable(writer_).send({.method = "POST",
+                          .target = stream_target(),
+                          .headers = {{.name = "Content-Type", .value = "application/octet-stream"}},
+                          .body = std::move(body),
+                          .timeout = options_.request_timeout},
+                         [this](const upstream_result& result) { on_append_result(result); });
+}
+
+void log_client::on_append_result(const upstream_result& result) {
+    append_in_progress_ = false;
+    options_.on_appended(succeeded(result));
+    send_next_append();
+}
+
+http_connection& log_client::usable(std::unique_ptr<http_connection>& connection) {
+    if (connection == nullptr || !connection->idle()) {
+        connection = std::make_unique<http_connection>(loop_, options_.server, max_log_answer_bytes);
+    }
+    return *connection;
+}
+
+std::string log_client::stream_target() const {
+    return "/streams/" + options_.stream + "/records";
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/shell/metrics_text.hpp
@@ -0,0 +1,16 @@
+#ifndef GOLDCRESTWELL_SHELL_METRICS_TEXT_HPP
+#define GOLDCRESTWELL_SHELL_METRICS_TEXT_HPP
+
+#include "goldcrestwell/core/node/fwd.hpp"
+#include "goldcrestwell/shell/process_usage.hpp"
+
+#include <string>
+
+namespace goldcrestwell {
+
+/** @return All counters and summaries of a node in the usual text format of metrics collectors. */
+[[nodiscard]] std::string metrics_text(const node& core, const process_usage& usage);
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -0,0 +1,209 @@
+#include "goldcrestwell/shell/node_process.hpp"
+
+#include "goldcrestwell/codec/datagram_codec.hpp"
+#include "goldcrestwell/codec/frame_codec.hpp"
+#include "goldcrestwell/shell/member_status_name.hpp"
+#include "goldcrestwell/shell/structured_log.hpp"
+
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr std::chrono::milliseconds drain_check_interval{100};
+/** @brief Time for the last frames and datagrams to leave the process. */
+constexpr std::chrono::milliseconds departure_time{200};
+
+template <typename Options, typename Change>
+Options changed(Options options, Change change) {
+    change(options);
+    return options;
+}
+
+} // namespace
+
+node_process::node_process(event_loop& loop, node_process_options options)
+    : loop_{loop}, options_{std::move(options)}, core_timer_{loop,
+                                                             [this](const time_sample now) {
+                                                                 core_.on_timer(now);
+                                                             }},
+      drain_timer_{loop,
+                   [this](time_sample) {
+                       check_drain();
+                   }},
+      gossip_{loop,
+              {.self = options_.core.self,
+               .on_datagram = [this](const datagram& message) { core_.on_datagram(message, loop_.now()); },
+               .on_drop =
+                   [this](const drop_reason reason) {
+                       core_.counts().drops.add(reason);
+                   }}},
+      peers_{loop,
+             {.self = options_.core.self,
+              .life = options_.core.life,
+              .on_message = [this](const node_id from,
+                                   const peer_message& message) { core_.on_peer_message(from, message, loop_.now()); },
+              .on_lost = [this](const node_id peer) { core_.on_peer_lost(peer, loop_.now()); },
+              .on_drop =
+                  [this](const drop_reason reason) {
+                      core_.counts().drops.add(reason);
+                  }}},
+      log_{loop, changed(options_.log,
+                         [this](log_client_options& log) {
+                             log.on_batch = [this](const record_batch& batch) {
+                                 core_.on_log_batch(batch, loop_.now());
+                             };
+                             log.on_read_failed = [this] {
+                                 core_.on_log_failure(loop_.now());
+                             };
+                             log.on_appended = [](const bool confirmed) {
+                                 if (!confirmed) {
+                                     write_log(log_level::warning, "append_unconfirmed");
+                                 }
+                             };
+                         })},
+      upstream_{loop, changed(options_.upstream,
+                              [this](upstream_client_options& upstream) {
+                                  upstream.on_result = [this](const attempt_id& id, const upstream_result& result) {
+                                      core_.on_upstream_result(id, result, loop_.now());
+                                  };
+                              })},
+      core_{with_hooks(options_.core)}, callers_{loop, core_, options_.callers}, admin_{loop, core_, upstream_,
+                                                                                        options_.admin} {}
+
+bool node_process::start() {
+    if (!peers_.start()) {
+        failure_ = start_failure::peer_listener;
+    } else if (!gossip_.start()) {
+        failure_ = start_failure::gossip_socket;
+    } else if (!callers_.start()) {
+        failure_ = start_failure::caller_listener;
+    } else if (!admin_.start()) {
+        failure_ = start_failure::admin_listener;
+    } else {
+        core_.start(loop_.now());
+    }
+    return failure_ == start_failure::none;
+}
+
+void node_process::drain() {
+    if (std::exchange(draining_, true)) {
+        finish_drain(core_.in_progress());
+        return;
+    }
+    const auto now = loop_.now();
+    write_log(log_level::info, "drain_started", {{"in_progress", core_.in_progress()}});
+    drain_ends_ = now.steady + options_.drain_limit;
+    core_.on_drain(now);
+    check_drain();
+}
+
+void node_process::check_drain() {
+    if (finished_) {
+        loop_.stop();
+        return;
+    }
+    const auto now = loop_.now();
+    if (core_.drained(now) && callers_.in_progress() == 0) {
+        finish_drain(0);
+        return;
+    }
+    if (now.steady >= drain_ends_) {
+        finish_drain(core_.in_progress());
+        return;
+    }
+    drain_timer_.arm_after(drain_check_interval);
+}
+
+void node_process::finish_drain(const std::size_t cut) {
+    if (std::exchange(finished_, true)) {
+        return;
+    }
+    cut_calls_ = cut;
+    drain_timer_.cancel();
+    write_log(log_level::info, "drain_finished", {{"cut_calls", cut}});
+    if (cut == 0) {
+        core_.depart(loop_.now());
+    }
+    // The last datagrams and answers leave while the loop runs on.
+    drain_timer_.arm_after(departure_time);
+}
+
+node_options node_process::with_hooks(node_options options) {
+    auto& hooks = options.hooks;
+    hooks.send_frame = [this](const node_id to, const peer_message& message) {
+        peers_.send(to, message);
+    };
+    hooks.send_datagram = [this](const node_id to, const datagram& message) {
+        gossip_.send(to, message);
+    };
+    hooks.datagram_size = [](const datagram& message) {
+        return encode(message).size();
+    };
+    hooks.frame_size = [](const peer_message& message) {
+        return encode(message).size();
+    };
+    hooks.replace_connection = [this](const node_id peer) {
+        peers_.replace(peer);
+    };
+    hooks.start_upstream = [this](const attempt_id& id, const call_request& call,
+                                  const std::chrono::milliseconds timeout) {
+        upstream_.start(id, call, timeout);
+    };
+    hooks.abort_upstream = [this](const attempt_id& id) {
+        upstream_.abort(id);
+    };
+    hooks.read_log = [this](const log_offset after, const std::chrono::milliseconds wait) {
+        log_.read(after, wait);
+    };
+    hooks.append_record = [this](const log_record& record) {
+        log_.append(record);
+    };
+    hooks.wake_at = [this](const steady_time when) {
+        core_timer_.arm_at(when);
+    };
+    hooks.event = [this](const node_event& event) {
+        report(event);
+    };
+    hooks.invariant_violated = [](const invariant_id id) {
+        write_log(log_level::error, "invariant_violated", {{"invariant", to_string(id)}});
+    };
+    return options;
+}
+
+void node_process::report(const node_event& event) const {
+    std::visit([this](const auto& alternative) { report(alternative); }, event);
+}
+
+void node_process::report(const table_changed& event) const {
+    write_log(log_level::info, "table_changed", {{"version", event.version.value()}, {"rows", event.rows}});
+}
+
+void node_process::report(const became_ready& event) const {
+    write_log(log_level::info, "ready", {{"position", event.position.value()}});
+}
+
+void node_process::report(const edit_verdict& event) const {
+    write_log(log_level::info, "edit_decided",
+              {{"id", to_string(event.id)}, {"offset", event.at.value()}, {"verdict", to_string(event.reason)}});
+}
+
+void node_process::report(const member& event) const {
+    write_log(
+        log_level::debug, "member_changed",
+        {{"node", to_string(event.id)}, {"status", name_of(event.status)}, {"incarnation", event.incarnation.value()}});
+}
+
+void node_process::report(const move_update& event) const {
+    write_log(log_level::info, "move_changed",
+              {{"route", event.key.row.route.value},
+               {"upstream_version", event.key.row.version.value},
+               {"row_version", event.key.row_version.value()},
+               {"stage", static_cast<unsigned>(event.state.stage)},
+               {"done", static_cast<unsigned>(event.state.done)},
+               {"taken_back", static_cast<unsigned>(event.state.taken_back)},
+               {"reason", to_string(event.state.reason)}});
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/shell/peer_transport.cpp
@@ -0,0 +1,194 @@
+#include "goldcrestwell/shell/peer_transport.hpp"
+
+#include "goldcrestwell/codec/frame_codec.hpp"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr std::chrono::seconds idle_check_interval{10};
+constexpr int listen_backlog = 1024;
+
+sockaddr_in listen_address(const node_id self) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(self.address());
+    address.sin_port = htons(self.port());
+    return address;
+}
+
+} // namespace
+
+void peer_transport::listener_deleter::operator()(evconnlistener* handle) const noexcept {
+    evconnlistener_free(handle);
+}
+
+peer_transport::peer_transport(event_loop& loop, peer_transport_options options)
+    : loop_{loop}, options_{std::move(options)}, idle_check_{loop, [this](time_sample) {
+                                                                 close_idle();
+                                                             }} {}
+
+peer_transport::~peer_transport() = default;
+
+bool peer_transport::start() {
+    auto address = listen_address(options_.self);
+    const auto accepted = [](evconnlistener* /*unused*/, evutil_socket_t descriptor, sockaddr* /*unused*/,
+                             int /*unused*/, void* argument) {
+        static_cast<peer_transport*>(argument)->accept(descriptor);
+    };
+    listener_.reset(evconnlistener_new_bind(loop_.base(), accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                            listen_backlog, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
+    idle_check_.arm_after(idle_check_interval);
+    return listener_ != nullptr;
+}
+
+void peer_transport::send(const node_id to, const peer_message& message) {
+    auto* found = find(to);
+    auto& used = found != nullptr ? *found : open(to);
+    const auto body = encode(message);
+    used.last_used = loop_.now().steady;
+    used.connection->send(body);
+    bytes_sent_ += body.size();
+}
+
+void peer_transport::replace(const node_id peer) {
+    for (auto entry = links_.begin(); entry != links_.end();) {
+        const auto next = std::next(entry);
+        if (entry->second.peer == peer) {
+            discard(entry->first);
+        }
+        entry = next;
+    }
+    current_.erase(peer);
+    open(peer);
+}
+
+void peer_transport::accept(const int descriptor) {
+    if (links_.size() >= options_.max_connections) {
+        evutil_closesocket(descriptor);
+        options_.on_drop(drop_reason::connection_refused);
+        return;
+    }
+    const auto number = ++last_number_;
+    links_.emplace(number, link{.last_used = loop_.now().steady,
+                                .connection = std::make_unique<peer_connection>(loop_, descriptor, hooks_for(number))});
+}
+
+peer_transport::link& peer_transport::open(const node_id peer) {
+    const auto number = ++last_number_;
+    auto& opened =
+        links_
+            .emplace(number,
+                     link{.peer = peer,
+                          .outbound = true,
+                          .last_used = loop_.now().steady,
+                          .connection = std::make_unique<peer_connection>(loop_, to_endpoint(peer), hooks_for(number))})
+            .first->second;
+    current_.insert_or_assign(peer, number);
+    opened.connection->send(encode(peer_message{hello{.sender = options_.self, .life = options_.life}}));
+    return opened;
+}
+
+peer_transport::link* peer_transport::find(const node_id peer) {
+    const auto current = current_.find(peer);
+    if (current == current_.end()) {
+        return nullptr;
+    }
+    return &links_.at(current->second);
+}
+
+peer_connection_hooks peer_transport::hooks_for(const link_number number) {
+    return {.on_frame = [this, number](const std::string_view body) { return on_frame(number, body); },
+            .on_closed =
+                [this, number](const codec_reason reason) {
+                    on_closed(number, reason);
+                }};
+}
+
+bool peer_transport::on_frame(const link_number number, const std::string_view body) {
+    frame_decoder decoder;
+    const auto message = decoder.decode(body);
+    if (!message) {
+        options_.on_drop(drop_reason::frame_unreadable);
+        return false;
+    }
+    auto& source = links_.at(number);
+    source.last_used = loop_.now().steady;
+    if (const auto* greeting = std::get_if<hello>(&*message)) {
+        return on_hello(number, *greeting);
+    }
+    if (!source.peer) {
+        options_.on_drop(drop_reason::unknown_sender);
+        return false;
+    }
+    options_.on_message(source.peer, *message);
+    return true;
+}
+
+bool peer_transport::on_hello(const link_number number, const hello& greeting) {
+    auto& source = links_.at(number);
+    if (source.outbound || source.peer || !greeting.sender || greeting.sender == options_.self) {
+        options_.on_drop(drop_reason::unknown_sender);
+        return false;
+    }
+    source.peer = greeting.sender;
+    // The peer opens a second connection only when it has given up the first, so what that one still holds is stale.
+    for (auto entry = links_.begin(); entry != links_.end();) {
+        const auto next = std::next(entry);
+        if (entry->first != number && entry->second.peer == greeting.sender && !entry->second.outbound) {
+            discard(entry->first);
+        }
+        entry = next;
+    }
+    current_.insert_or_assign(greeting.sender, number);
+    options_.on_message(greeting.sender, greeting);
+    return true;
+}
+
+void peer_transport::on_closed(const link_number number, const codec_reason reason) {
+    if (reason == codec_reason::too_large) {
+        options_.on_drop(drop_reason::frame_too_large);
+    }
+    const auto peer = links_.at(number).peer;
+    discard(number);
+    const auto current = current_.find(peer);
+    if (current == current_.end() || current->second != number) {
+        return;
+    }
+    current_.erase(current);
+    for (const auto& [other, entry] : links_) {
+        if (entry.peer == peer) {
+            current_.insert_or_assign(peer, other);
+            return;
+        }
+    }
+    options_.on_lost(peer);
+}
+
+void peer_transport::discard(const link_number number) {
+    const auto found = links_.find(number);
+    found->second.connection->close();
+    // The connection may be in the middle of one of its callbacks.
+    loop_.defer([connection = std::shared_ptr<peer_connection>{std::move(found->second.connection)}] {});
+    links_.erase(found);
+}
+
+void peer_transport::close_idle() {
+    const auto limit = loop_.now().steady - options_.idle_timeout;
+    for (auto entry = links_.begin(); entry != links_.end();) {
+        const auto next = std::next(entry);
+        if (entry->second.last_used < limit) {
+            on_closed(entry->first, codec_reason::none);
+        }
+        entry = next;
+    }
+    idle_check_.arm_after(idle_check_interval);
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/shell/process_usage.hpp
@@ -0,0 +1,21 @@
+#ifndef GOLDCRESTWELL_SHELL_PROCESS_USAGE_HPP
+#define GOLDCRESTWELL_SHELL_PROCESS_USAGE_HPP
+
+#include <chrono>
+#include <cstdint>
+
+namespace goldcrestwell {
+
+/** @brief What the process has used of the machine. */
+struct process_usage {
+    /** @brief Processor time in user and system mode since the start. */
+    std::chrono::microseconds processor_time{};
+    /** @brief Largest resident memory so far, in bytes. */
+    std::uint64_t peak_memory_bytes{};
+};
+
+[[nodiscard]] process_usage current_usage() noexcept;
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/shell/structured_log.hpp
@@ -0,0 +1,34 @@
+#ifndef GOLDCRESTWELL_SHELL_STRUCTURED_LOG_HPP
+#define GOLDCRESTWELL_SHELL_STRUCTURED_LOG_HPP
+
+#include "goldcrestwell/shell/log_field.hpp"
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace goldcrestwell {
+
+/** @brief Lines below the chosen level are not written. */
+enum class log_level : std::uint8_t { debug, info, warning, error };
+
+/** @brief Where log lines go. */
+struct log_options {
+    log_level level{log_level::info};
+    /** @brief File to append to; empty writes to the standard output only. */
+    std::string file;
+};
+
+/** @brief Sets up logging for the process. */
+void configure_log(const log_options& options);
+
+/**
+ * @brief Writes `time level=... event=... name=value ...`; values with spaces, quotes or control characters are quoted.
+ * @param event Name of the event, in lower case with underscores.
+ */
+void write_log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/shell/upstream_client.cpp
@@ -0,0 +1,77 @@
+#include "goldcrestwell/shell/upstream_client.hpp"
+
+#include "goldcrestwell/shell/call_mapping.hpp"
+
+#include <utility>
+
+namespace goldcrestwell {
+
+upstream_client::upstream_client(event_loop& loop, upstream_client_options options)
+    : loop_{loop}, options_{std::move(options)} {}
+
+void upstream_client::set_upstream(const endpoint& address, const std::size_t max_connections) {
+    if (!(address == address_)) {
+        idle_.clear();
+    }
+    address_ = address;
+    max_connections_ = max_connections;
+}
+
+void upstream_client::start(const attempt_id& id, const call_request& call, const std::chrono::milliseconds timeout) {
+    auto connection = take_connection();
+    if (connection == nullptr) {
+        loop_.defer([this, id] { options_.on_result(id, {.outcome = upstream_outcome::not_sent}); });
+        return;
+    }
+    auto& used = *connection;
+    active_.insert_or_assign(id, std::move(connection));
+    used.send({.method = call.method,
+               .target = call.target,
+               .headers = upstream_headers(call, timeout),
+               .body = call.body,
+               .timeout = timeout},
+              [this, id](const upstream_result& result) { finish(id, result); });
+}
+
+void upstream_client::abort(const attempt_id& id) {
+    const auto found = active_.find(id);
+    if (found == active_.end()) {
+        return;
+    }
+    found->second->cancel();
+    active_.erase(found);
+    loop_.defer([this, id] { options_.on_result(id, {.outcome = upstream_outcome::reset}); });
+}
+
+std::unique_ptr<http_connection> upstream_client::take_connection() {
+    drop_stale(loop_.now().steady);
+    if (!idle_.empty()) {
+        auto connection = std::move(idle_.back().connection);
+        idle_.pop_back();
+        return connection;
+    }
+    if (address_.port == 0 || active_.size() >= max_connections_) {
+        return nullptr;
+    }
+    return std::make_unique<http_connection>(loop_, address_, options_.max_answer_bytes);
+}
+
+void upstream_client::finish(const attempt_id& id, const upstream_result& result) {
+    const auto found = active_.find(id);
+    if (found == active_.end()) {
+        return;
+    }
+    if (found->second->idle()) {
+        idle_.push_back({.connection = std::move(found->second), .since = loop_.now().steady});
+    }
+    active_.erase(found);
+    options_.on_result(id, result);
+}
+
+void upstream_client::drop_stale(const steady_time now) {
+    std::erase_if(idle_, [this, now](const idle_connection& entry) {
+        return now - entry.since > options_.reuse_limit || entry.connection->broken();
+    });
+}
+
+} // namespace goldcrestwell
