Decide edits and rollout facts in the reducer

Cause: every node must accept and reject the same edits from the order of the records alone. Change: validation of form, row versions and routes; base shares; a draft of the next table that is committed whole or thrown away; a row whose share grows because another row lost weight starts a move of its own. Conclusion: the three invariants are asserted where the step is made, and a step that would break one is refused.

--- /dev/null
+++ b/src/goldcrestwell/core/config/edit_validation.hpp
@@ -0,0 +1,29 @@
+#ifndef GOLDCRESTWELL_CORE_CONFIG_EDIT_VALIDATION_HPP
+#define GOLDCRESTWELL_CORE_CONFIG_EDIT_VALIDATION_HPP
+
+#include "goldcrestwell/core/config/table_snapshot.hpp"
+#include "goldcrestwell/core/message/edit_reason.hpp"
+#include "goldcrestwell/core/message/table_edit.hpp"
+
+namespace goldcrestwell::internal {
+
+/** @brief Why an edit cannot be accepted and the row concerned; `accepted` means no defect. */
+struct edit_defect {
+    edit_reason reason{edit_reason::accepted};
+    row_key row;
+
+    [[nodiscard]] bool found() const noexcept { return reason != edit_reason::accepted; }
+};
+
+/** @return First defect that is visible without the table: names, ranges, deadlines, rows named twice. */
+[[nodiscard]] edit_defect find_form_defect(const table_edit& edit);
+
+/** @return First row that is not in the state which the operator saw. */
+[[nodiscard]] edit_defect find_stale_row(const table_edit& edit, const table_snapshot& table);
+
+/** @return First defect of a route after an edit: services that differ, or no weight left. */
+[[nodiscard]] edit_defect find_route_defect(const route_state& state);
+
+} // namespace goldcrestwell::internal
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/config/route_change.cpp
@@ -0,0 +1,103 @@
+#include "goldcrestwell/core/config/route_change.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestwell::internal {
+
+namespace {
+
+void apply_row(std::vector<table_row>& rows, const row_change& change, const edit_place& place) {
+    const auto position =
+        std::lower_bound(rows.begin(), rows.end(), change.key.version,
+                         [](const table_row& row, const upstream_version& key) { return row.key.version < key; });
+    const auto exists = position != rows.end() && position->key.version == change.key.version;
+    if (!change.values) {
+        if (exists) {
+            rows.erase(position);
+        }
+        return;
+    }
+    table_row row{.key = change.key, .row_version = place.at, .changed_at = place.created_at, .values = *change.values};
+    if (exists) {
+        *position = std::move(row);
+    } else {
+        rows.insert(position, std::move(row));
+    }
+}
+
+std::vector<version_share> next_base(const route_state* before, const route_state& after) {
+    const auto target = target_shares(after.rows);
+    // A version of another service is nothing to compare with or to go back to.
+    if (before == nullptr || before->service != after.service) {
+        return target;
+    }
+    return move_finished(*before) ? target_shares(before->rows) : before->base;
+}
+
+// A row that the edit does not name but whose share grows, because another row lost weight, starts a move of its own.
+// Otherwise the recorded end of its last move would let it take the larger share at once.
+void restart_growing_rows(const route_state& before, route_state& after, const edit_place& place) {
+    const auto old_target = target_shares(before.rows);
+    const auto target = target_shares(after.rows);
+    for (auto& row : after.rows) {
+        const auto share = share_of(target, row.key.version);
+        if (share > share_of(old_target, row.key.version) && share > share_of(after.base, row.key.version)) {
+            row.row_version = place.at;
+            row.changed_at = place.created_at;
+        }
+    }
+}
+
+void keep_current_facts(const route_state& before, route_state& after) {
+    for (const auto& fact : before.facts) {
+        const auto* row = find_row(after, fact.key.row.version);
+        if (row != nullptr && row->row_version == fact.key.row_version) {
+            after.facts.push_back(fact);
+        }
+    }
+}
+
+} // namespace
+
+route_state changed_route(const route_state* before, const std::span<const row_change* const> changes,
+                          const edit_place& place) {
+    route_state after{.route = changes.front()->key.route,
+                      .service = {},
+                      .rows = before != nullptr ? before->rows : std::vector<table_row>{},
+                      .base = {},
+                      .facts = {}};
+    for (const auto* change : changes) {
+        apply_row(after.rows, *change, place);
+    }
+    if (after.rows.empty()) {
+        return after;
+    }
+    after.service = after.rows.front().values.service;
+    after.base = next_base(before, after);
+    if (before != nullptr) {
+        restart_growing_rows(*before, after, place);
+        keep_current_facts(*before, after);
+    }
+    return after;
+}
+
+bool move_finished(const route_state& state) {
+    const auto target = target_shares(state.rows);
+    return std::all_of(target.begin(), target.end(), [&state](const version_share& part) {
+        if (part.share <= share_of(state.base, part.version)) {
+            return true;
+        }
+        const auto* fact = find_fact(state, part.version);
+        return fact != nullptr && fact->state.done && !fact->state.taken_back;
+    });
+}
+
+move_state merged(const move_state& left, const move_state& right) noexcept {
+    return {.stage = std::max(left.stage, right.stage),
+            .done = left.done || right.done,
+            .taken_back = left.taken_back || right.taken_back,
+            .reason = std::max(left.reason, right.reason)};
+}
+
+} // namespace goldcrestwell::internal
--- a/src/goldcrestwell/core/config/state_digest.cpp
+++ b/src/goldcrestwell/core/config/state_digest.cpp
@@ -84,9 +84,9 @@
     return writer.hash();
 }
 
-std::uint64_t digest_of_state(const std::uint64_t table, const std::uint64_t verdicts, const log_offset covers) {
+std::uint64_t digest_of_state(const std::uint64_t sum, const log_offset covers) {
     field_writer writer;
-    writer.number(table).number(verdicts).number(covers.value());
+    writer.number(sum).number(covers.value());
     return writer.hash();
 }
 
--- a/src/goldcrestwell/core/config/state_digest.hpp
+++ b/src/goldcrestwell/core/config/state_digest.hpp
@@ -16,8 +16,11 @@
 
 [[nodiscard]] std::uint64_t digest_of(const route_state& state);
 [[nodiscard]] std::uint64_t digest_of(const edit_verdict& verdict);
-/** @return Hash of a state and the offset that it covers. */
-[[nodiscard]] std::uint64_t digest_of_state(std::uint64_t table, std::uint64_t verdicts, log_offset covers);
+/**
+ * @param sum Sum of the hashes of all routes and verdicts.
+ * @return Hash of a state and the offset that it covers.
+ */
+[[nodiscard]] std::uint64_t digest_of_state(std::uint64_t sum, log_offset covers);
 
 } // namespace goldcrestwell::internal
 
--- a/src/goldcrestwell/core/config/table_reducer.cpp
+++ b/src/goldcrestwell/core/config/table_reducer.cpp
@@ -2,23 +2,139 @@
 
 #include "goldcrestwell/core/config/state_digest.hpp"
 
+#include <algorithm>
+#include <utility>
+#include <variant>
+
 namespace goldcrestwell {
 
 table_reducer::table_reducer(table_reducer_options options)
-    : options_{options}, snapshot_{std::make_shared<const table_snapshot>()} {}
+    : options_{options}, snapshot_{std::make_shared<const table_snapshot>()} {
+    history_.reset(position_, state_sum());
+}
 
 std::optional<edit_verdict> table_reducer::apply(const sequenced_record& record) {
-    advance_to(record.offset);
-    return std::nullopt;
+    if (record.offset <= position_) {
+        last_reason_ = reducer_reason::record_old;
+        return std::nullopt;
+    }
+    std::optional<edit_verdict> verdict;
+    if (const auto* edit = std::get_if<table_edit>(&record.record)) {
+        verdict = apply_edit(*edit, record.offset);
+    } else if (const auto* fact = std::get_if<rollout_fact>(&record.record)) {
+        apply_fact(*fact, record.offset);
+    } else if (const auto* part = std::get_if<checkpoint_part>(&record.record)) {
+        compare_digest(*part, record.offset);
+    } else {
+        last_reason_ = reducer_reason::record_unreadable;
+    }
+    move_position(record.offset);
+    return verdict;
 }
 
 void table_reducer::advance_to(const log_offset through) {
     if (through > position_) {
-        position_ = through;
+        move_position(through);
     }
 }
 
-bool table_reducer::restore(std::span<const checkpoint_part> /*parts*/) {
+bool table_reducer::move_position(const log_offset to) {
+    if (!check(invariant_id::version_monotonic, to >= position_)) {
+        last_reason_ = reducer_reason::step_refused;
+        return false;
+    }
+    position_ = to;
+    return true;
+}
+
+std::optional<edit_verdict> table_reducer::apply_edit(const table_edit& edit, const log_offset at) {
+    if (verdicts_.find(edit.id) != nullptr) {
+        last_reason_ = reducer_reason::duplicate_edit;
+        return std::nullopt;
+    }
+    auto verdict = decide(edit, at);
+    if (verdict) {
+        verdicts_.add(*verdict);
+        history_.add(at, state_sum());
+    }
+    return verdict;
+}
+
+std::optional<edit_verdict> table_reducer::decide(const table_edit& edit, const log_offset at) {
+    internal::table_draft draft{*snapshot_, table_digest_};
+    auto defect = internal::find_form_defect(edit);
+    if (!defect.found()) {
+        defect = internal::find_stale_row(edit, *snapshot_);
+    }
+    if (!defect.found()) {
+        defect = draft.change(edit, {.at = at, .created_at = edit.created_at});
+    }
+    last_reason_ = defect.found() ? reducer_reason::edit_rejected : reducer_reason::applied;
+    if (!defect.found() && !commit_edit(draft, edit, at)) {
+        return std::nullopt;
+    }
+    return edit_verdict{.id = edit.id, .at = at, .reason = defect.reason, .row = std::move(defect.row)};
+}
+
+bool table_reducer::commit_edit(const internal::table_draft& draft, const table_edit& edit, const log_offset at) {
+    const auto next = draft.snapshot(at);
+    if (!check(invariant_id::references_closed, draft.closed()) ||
+        !check(invariant_id::apply_atomic, internal::holds_edit(*next, edit, at))) {
+        last_reason_ = reducer_reason::step_refused;
+        return false;
+    }
+    commit(draft, at);
+    return true;
+}
+
+void table_reducer::apply_fact(const rollout_fact& fact, const log_offset at) {
+    const auto* state = snapshot_->find(fact.key.row.route);
+    const auto* row = state != nullptr ? find_row(*state, fact.key.row.version) : nullptr;
+    if (row == nullptr || row->row_version != fact.key.row_version) {
+        last_reason_ = reducer_reason::stale_fact;
+        return;
+    }
+    auto next = *state;
+    const auto place = std::lower_bound(
+        next.facts.begin(), next.facts.end(), fact.key,
+        [](const rollout_fact& known, const move_key& key) { return known.key.row.version < key.row.version; });
+    if (place == next.facts.end() || place->key != fact.key) {
+        next.facts.insert(place, fact);
+    } else {
+        place->state = internal::merged(place->state, fact.state);
+    }
+    if (next == *state) {
+        last_reason_ = reducer_reason::fact_known;
+        return;
+    }
+    internal::table_draft draft{*snapshot_, table_digest_};
+    draft.put(std::move(next));
+    last_reason_ = reducer_reason::step_refused;
+    if (check(invariant_id::references_closed, draft.closed())) {
+        last_reason_ = reducer_reason::applied;
+        commit(draft, at);
+        history_.add(at, state_sum());
+    }
+}
+
+void table_reducer::compare_digest(const checkpoint_part& part, const log_offset at) {
+    last_reason_ = reducer_reason::checkpoint_seen;
+    if (part.index != 0 || part.covers >= at) {
+        return;
+    }
+    const auto sum = history_.at(part.covers);
+    if (sum && internal::digest_of_state(*sum, part.covers) != part.digest) {
+        last_reason_ = reducer_reason::digest_diverged;
+        ++divergences_;
+    }
+}
+
+void table_reducer::commit(const internal::table_draft& draft, const log_offset at) {
+    snapshot_ = draft.snapshot(at);
+    table_digest_ = draft.digest();
+}
+
+bool table_reducer::restore(const std::span<const checkpoint_part> /*parts*/) {
     return false;
 }
 
@@ -27,12 +143,16 @@
     return found != nullptr ? std::optional{*found} : std::nullopt;
 }
 
-std::uint64_t table_reducer::digest() const noexcept {
-    return internal::digest_of_state(table_digest_, verdicts_.digest(), position_);
+std::uint64_t table_reducer::digest() const {
+    return internal::digest_of_state(state_sum(), position_);
 }
 
 std::vector<checkpoint_part> table_reducer::make_checkpoint() const {
     return {};
 }
 
+bool table_reducer::check(const invariant_id id, const bool holds) const {
+    return options_.invariants != nullptr ? options_.invariants->check(id, holds) : holds;
+}
+
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/config/table_reducer.hpp
+++ b/src/goldcrestwell/core/config/table_reducer.hpp
@@ -5,6 +5,7 @@
 #include "goldcrestwell/core/common/log_offset.hpp"
 #include "goldcrestwell/core/config/digest_history.hpp"
 #include "goldcrestwell/core/config/reducer_reason.hpp"
+#include "goldcrestwell/core/config/table_draft.hpp"
 #include "goldcrestwell/core/config/table_reducer_options.hpp"
 #include "goldcrestwell/core/config/table_snapshot.hpp"
 #include "goldcrestwell/core/config/verdict_store.hpp"
@@ -50,7 +51,7 @@
     /** @return Decision on an edit, or nothing if it was not read or is older than the verdicts kept. */
     [[nodiscard]] std::optional<edit_verdict> verdict(const edit_id& id) const;
     /** @return Hash of the state and the position. */
-    [[nodiscard]] std::uint64_t digest() const noexcept;
+    [[nodiscard]] std::uint64_t digest() const;
     /** @return The state as records for the log. */
     [[nodiscard]] std::vector<checkpoint_part> make_checkpoint() const;
     /** @return What was done with the last input. */
@@ -60,13 +61,14 @@
 
 private:
     std::optional<edit_verdict> apply_edit(const table_edit& edit, log_offset at);
-    edit_verdict decide(const table_edit& edit, log_offset at);
+    std::optional<edit_verdict> decide(const table_edit& edit, log_offset at);
+    bool commit_edit(const internal::table_draft& draft, const table_edit& edit, log_offset at);
     void apply_fact(const rollout_fact& fact, log_offset at);
-    void compare_digest(const checkpoint_part& part);
-    void commit(std::shared_ptr<const table_snapshot> next, std::uint64_t table_digest);
-    void note_state(log_offset at);
+    void compare_digest(const checkpoint_part& part, log_offset at);
+    void commit(const internal::table_draft& draft, log_offset at);
     bool move_position(log_offset to);
     [[nodiscard]] bool check(invariant_id id, bool holds) const;
+    [[nodiscard]] std::uint64_t state_sum() const noexcept { return table_digest_ + verdicts_.digest(); }
 
     table_reducer_options options_;
     std::shared_ptr<const table_snapshot> snapshot_;
