Write the table as a checkpoint and restore it

Cause: the log keeps records for a limited time, so the state must be in it as well, and a node that was passed by retention needs a way back. Change: parts of limited size with the covered offset and a digest; a restore that builds and verifies the state aside and replaces all or nothing; comparison of digests with nodes that hold the covered state. Conclusion: the digest covers the offset too, so a damaged offset cannot make a node skip records.

--- /dev/null
+++ b/src/goldcrestwell/core/config/checkpoint_loader.cpp
@@ -0,0 +1,96 @@
+#include "goldcrestwell/core/config/checkpoint_loader.hpp"
+
+#include "goldcrestwell/core/config/state_digest.hpp"
+#include "goldcrestwell/core/config/table_draft.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace goldcrestwell::internal {
+
+namespace {
+
+bool complete(const std::span<const checkpoint_part> parts) {
+    if (parts.empty() || parts.size() != parts.front().count) {
+        return false;
+    }
+    std::vector<bool> seen(parts.size());
+    const auto& first = parts.front();
+    for (const auto& part : parts) {
+        const auto same = part.covers == first.covers && part.digest == first.digest && part.count == first.count;
+        if (!same || part.index >= part.count || seen[part.index]) {
+            return false;
+        }
+        seen[part.index] = true;
+    }
+    return true;
+}
+
+std::map<route_name, route_state> collect_routes(const std::span<const checkpoint_part> parts) {
+    std::map<route_name, route_state> routes;
+    for (const auto& part : parts) {
+        for (const auto& row : part.rows) {
+            routes[row.key.route].rows.push_back(row);
+        }
+        for (const auto& base : part.bases) {
+            routes[base.route].base = base.shares;
+        }
+        for (const auto& fact : part.facts) {
+            routes[fact.key.row.route].facts.push_back(fact);
+        }
+    }
+    return routes;
+}
+
+// The parts may come in any order, but the digest is that of the state in its own order.
+void put_in_order(const route_name& route, route_state& state) {
+    std::sort(state.rows.begin(), state.rows.end(),
+              [](const table_row& left, const table_row& right) { return left.key < right.key; });
+    std::sort(state.facts.begin(), state.facts.end(),
+              [](const rollout_fact& left, const rollout_fact& right) { return left.key < right.key; });
+    state.route = route;
+    state.service = state.rows.empty() ? service_name{} : state.rows.front().values.service;
+}
+
+verdict_store collect_verdicts(const std::span<const checkpoint_part> parts) {
+    std::vector<edit_verdict> verdicts;
+    for (const auto& part : parts) {
+        verdicts.insert(verdicts.end(), part.verdicts.begin(), part.verdicts.end());
+    }
+    std::sort(verdicts.begin(), verdicts.end(),
+              [](const edit_verdict& left, const edit_verdict& right) { return left.at < right.at; });
+    verdict_store store;
+    for (const auto& verdict : verdicts) {
+        store.add(verdict);
+    }
+    return store;
+}
+
+} // namespace
+
+std::optional<loaded_state> checkpoint_loader::load(const std::span<const checkpoint_part> parts) {
+    if (!complete(parts)) {
+        last_reason_ = reducer_reason::checkpoint_incomplete;
+        return std::nullopt;
+    }
+    auto routes = collect_routes(parts);
+    table_draft draft{table_snapshot{}, 0};
+    for (auto& [route, state] : routes) {
+        put_in_order(route, state);
+        draft.put(std::move(state));
+    }
+    loaded_state loaded{.covers = parts.front().covers,
+                        .snapshot = draft.snapshot(parts.front().covers),
+                        .table_digest = draft.digest(),
+                        .verdicts = collect_verdicts(parts)};
+    const auto digest = digest_of_state(loaded.table_digest + loaded.verdicts.digest(), loaded.covers);
+    if (!draft.closed() || digest != parts.front().digest) {
+        last_reason_ = reducer_reason::checkpoint_corrupt;
+        return std::nullopt;
+    }
+    return loaded;
+}
+
+} // namespace goldcrestwell::internal
--- /dev/null
+++ b/src/goldcrestwell/core/config/record_size.cpp
@@ -0,0 +1,91 @@
+#include "goldcrestwell/core/config/record_size.hpp"
+
+#include <numeric>
+#include <type_traits>
+#include <vector>
+
+namespace goldcrestwell::internal {
+
+namespace {
+
+// An encoded integer takes at most 9 bytes, and a string at most 5 bytes more than its letters.
+constexpr std::size_t number_size = 9;
+constexpr std::size_t text_overhead = 5;
+constexpr std::size_t container_overhead = 5;
+// Numbers of each struct, counted from its fields.
+constexpr std::size_t values_numbers = 8;
+constexpr std::size_t row_numbers = 2;
+constexpr std::size_t fact_numbers = 5;
+constexpr std::size_t verdict_numbers = 4;
+constexpr std::size_t part_numbers = 4;
+
+template <typename Tag>
+std::size_t size_of(const tagged_string<Tag>& text) noexcept {
+    return text.value.size() + text_overhead;
+}
+
+std::size_t size_of(const row_key& key) noexcept {
+    return size_of(key.route) + size_of(key.version) + container_overhead;
+}
+
+std::size_t size_of(const row_values& values) noexcept {
+    return size_of(values.service) + values_numbers * number_size + 2 * container_overhead;
+}
+
+std::size_t size_of(const row_change& change) noexcept {
+    return size_of(change.key) + number_size + (change.values ? size_of(*change.values) : 1) + container_overhead;
+}
+
+template <typename Item, typename Size>
+std::size_t size_of_all(const std::vector<Item>& items, const Size size) noexcept {
+    return std::accumulate(items.begin(), items.end(), container_overhead,
+                           [&size](const std::size_t sum, const Item& item) { return sum + size(item); });
+}
+
+template <typename Item>
+std::size_t estimated_size_of_all(const std::vector<Item>& items) noexcept {
+    return size_of_all(items, [](const Item& item) { return estimated_size(item); });
+}
+
+std::size_t size_of(const checkpoint_part& part) noexcept {
+    return part_numbers * number_size + estimated_size_of_all(part.rows) + estimated_size_of_all(part.bases) +
+           estimated_size_of_all(part.facts) + estimated_size_of_all(part.verdicts);
+}
+
+std::size_t size_of(const table_edit& edit) noexcept {
+    return 3 * number_size + size_of_all(edit.changes, [](const row_change& change) { return size_of(change); });
+}
+
+std::size_t size_of(const rollout_fact& fact) noexcept {
+    return estimated_size(fact);
+}
+
+std::size_t size_of(const unreadable_record& /*record*/) noexcept {
+    return 1;
+}
+
+} // namespace
+
+std::size_t estimated_size(const table_row& row) noexcept {
+    return size_of(row.key) + size_of(row.values) + row_numbers * number_size + container_overhead;
+}
+
+std::size_t estimated_size(const route_base& base) noexcept {
+    return size_of(base.route) + size_of_all(base.shares, [](const version_share& part) {
+               return size_of(part.version) + number_size + container_overhead;
+           });
+}
+
+std::size_t estimated_size(const rollout_fact& fact) noexcept {
+    return size_of(fact.key.row) + fact_numbers * number_size + 2 * container_overhead;
+}
+
+std::size_t estimated_size(const edit_verdict& verdict) noexcept {
+    return size_of(verdict.row) + verdict_numbers * number_size + container_overhead;
+}
+
+std::size_t estimated_size(const log_record& record) noexcept {
+    return number_size + container_overhead + std::visit([](const auto& item) { return size_of(item); }, record);
+}
+
+} // namespace goldcrestwell::internal
--- a/src/goldcrestwell/core/config/table_reducer.cpp
+++ b/src/goldcrestwell/core/config/table_reducer.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestwell/core/config/table_reducer.hpp"
 
+#include "goldcrestwell/core/config/checkpoint_loader.hpp"
+#include "goldcrestwell/core/config/checkpoint_writer.hpp"
 #include "goldcrestwell/core/config/state_digest.hpp"
 
 #include <algorithm>
@@ -134,8 +136,26 @@
     table_digest_ = draft.digest();
 }
 
-bool table_reducer::restore(const std::span<const checkpoint_part> /*parts*/) {
-    return false;
+bool table_reducer::restore(const std::span<const checkpoint_part> parts) {
+    if (!parts.empty() && parts.front().covers <= position_) {
+        last_reason_ = reducer_reason::checkpoint_old;
+        return false;
+    }
+    internal::checkpoint_loader loader;
+    auto loaded = loader.load(parts);
+    if (!loaded) {
+        last_reason_ = loader.last_reason();
+        return false;
+    }
+    if (!move_position(loaded->covers)) {
+        return false;
+    }
+    snapshot_ = std::move(loaded->snapshot);
+    table_digest_ = loaded->table_digest;
+    verdicts_ = std::move(loaded->verdicts);
+    history_.reset(position_, state_sum());
+    last_reason_ = reducer_reason::applied;
+    return true;
 }
 
 std::optional<edit_verdict> table_reducer::verdict(const edit_id& id) const {
@@ -148,7 +168,12 @@
 }
 
 std::vector<checkpoint_part> table_reducer::make_checkpoint() const {
-    return {};
+    internal::checkpoint_writer writer{options_.max_part_bytes};
+    snapshot_->for_each_route([&writer](const route_state& state) { writer.add(state); });
+    for (const auto& verdict : verdicts_.verdicts()) {
+        writer.add(verdict);
+    }
+    return std::move(writer).finish(position_, digest());
 }
 
 bool table_reducer::check(const invariant_id id, const bool holds) const {
--- /dev/null
+++ b/test/core/config/checkpoint.cpp
@@ -0,0 +1,100 @@
+#include "core/config/table_support.hpp"
+#include "goldcrestwell/core/config/table_reducer.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <functional>
+
+using namespace goldcrestwell;
+using namespace goldcrestwell::test;
+
+namespace {
+
+struct fixture {
+    invariant_monitor monitor{failing_monitor()};
+    table_reducer source{table_reducer_options{.max_part_bytes = 500, .invariants = &monitor}};
+    table_reducer copy{table_reducer_options{.max_part_bytes = 500, .invariants = &monitor}};
+
+    fixture() {
+        for (std::uint64_t at = 1; at <= 20; ++at) {
+            source.apply(edit_at(at, {set_row(key_of("/route" + std::to_string(at), "1"), 1)}));
+        }
+        source.apply(edit_at(21, {remove_row(key_of("/route3", "1"), 3)}));
+        source.apply(edit_at(22, {set_row(key_of("/route4", "2"), 9), remove_row(key_of("/route4", "1"), 4)}));
+        source.apply(fact_at(23, key_of("/route4", "2"), 22, {.stage = 2}));
+        source.apply(edit_at(24, {set_row(key_of("bad", "1"), 1)}));
+        source.advance_to(log_offset{30});
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(checkpoint, fixture)
+
+// Guards against state that is lost in a checkpoint, and against parts that depend on their order.
+BOOST_AUTO_TEST_CASE(restored_state_is_the_same) {
+    auto parts = source.make_checkpoint();
+    BOOST_TEST(parts.size() > 3U);
+    std::reverse(parts.begin(), parts.end());
+    BOOST_TEST(copy.restore(parts));
+    BOOST_TEST(copy.digest() == source.digest());
+    BOOST_TEST(copy.position().value() == 30U);
+    BOOST_TEST((copy.snapshot()->rows() == source.snapshot()->rows()));
+    BOOST_TEST((copy.snapshot()->facts() == source.snapshot()->facts()));
+    BOOST_TEST((copy.snapshot()->base_shares({"/route4"}) == source.snapshot()->base_shares({"/route4"})));
+    BOOST_TEST(!copy.apply(edit_at(31, {set_row(key_of("/again", "1"), 1)}, 5)).has_value());
+    source.apply(edit_at(32, {set_row(key_of("/route4", "2"), 8, 22)}));
+    copy.apply(edit_at(32, {set_row(key_of("/route4", "2"), 8, 22)}));
+    BOOST_TEST(copy.digest() == source.digest());
+}
+
+// Guards against a state made of an incomplete or damaged checkpoint.
+BOOST_AUTO_TEST_CASE(damaged_checkpoint_is_refused) {
+    const std::vector<std::function<void(std::vector<checkpoint_part>&)>> damages{
+        [](auto& parts) { parts.pop_back(); },
+        [](auto& parts) { parts[1] = parts[0]; },
+        [](auto& parts) { parts[0].rows[0].values.weight += 1; },
+        [](auto& parts) { parts[0].bases.clear(); },
+        [](auto& parts) { parts.back().verdicts.pop_back(); },
+        [](auto& parts) { parts[0].covers = log_offset{29}; },
+        [](auto& parts) {
+            for (auto& part : parts) {
+                part.covers = log_offset{40};
+            }
+        },
+        [](auto& parts) { parts.clear(); },
+    };
+    for (const auto& damage : damages) {
+        auto parts = source.make_checkpoint();
+        damage(parts);
+        BOOST_TEST(!copy.restore(parts));
+        BOOST_TEST(copy.position().value() == 0U);
+        BOOST_TEST(copy.snapshot()->row_count() == 0U);
+    }
+}
+
+// Guards against a node that goes back to the state of an older checkpoint.
+BOOST_AUTO_TEST_CASE(old_checkpoint_is_refused) {
+    const auto parts = source.make_checkpoint();
+    source.apply(edit_at(31, {set_row(key_of("/later", "1"), 1)}));
+    BOOST_TEST(!source.restore(parts));
+    BOOST_CHECK(source.last_reason() == reducer_reason::checkpoint_old);
+    BOOST_TEST(source.position().value() == 31U);
+}
+
+// Guards against nodes whose tables differ without anybody noticing, and against false alarms.
+BOOST_AUTO_TEST_CASE(divergence_is_counted) {
+    const auto parts = source.make_checkpoint();
+    source.apply(edit_at(31, {set_row(key_of("/later", "1"), 1)}));
+    source.apply({.offset = log_offset{32}, .record = parts.front()});
+    BOOST_TEST(source.divergences() == 0U);
+    auto other = parts.front();
+    other.digest += 1;
+    source.apply({.offset = log_offset{33}, .record = other});
+    BOOST_TEST(source.divergences() == 1U);
+    copy.apply({.offset = log_offset{33}, .record = other});
+    BOOST_TEST(copy.position().value() == 33U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
