Implement membership: detection, dissemination, budget, anti-entropy

Cause: the interface knew only the own record. Change: member_table with merge rules, tombstones and digests by data centre and slice; SWIM failure detector; suspicion time-out with ln(n); dissemination queue (urgent, sent least, freshest first); byte budget with a floor for each priority; region_watch; pull anti-entropy in parts; join with back-off; upstream_index as the read side.

--- /dev/null
+++ b/src/goldcrestwell/core/membership/digest_hash.cpp
@@ -0,0 +1,44 @@
+#include "goldcrestwell/core/membership/digest_hash.hpp"
+
+#include "goldcrestwell/core/common/rendezvous.hpp"
+#include "goldcrestwell/core/membership/member_order.hpp"
+
+namespace goldcrestwell {
+
+namespace {
+
+/** Finaliser of splitmix64. */
+constexpr std::uint64_t mix(std::uint64_t value) noexcept {
+    value += 0x9E3779B97F4A7C15U;
+    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9U;
+    value = (value ^ (value >> 27U)) * 0x94D049BB133111EBU;
+    return value ^ (value >> 31U);
+}
+
+constexpr std::uint64_t combine(const std::uint64_t seed, const std::uint64_t value) noexcept {
+    return mix(seed ^ mix(value));
+}
+
+} // namespace
+
+std::uint32_t digest_slice(const node_id id) noexcept {
+    return 1U + static_cast<std::uint32_t>(mix(id.value()) % digest_slice_count);
+}
+
+std::uint64_t digest_hash(const member& record) noexcept {
+    if (is_tombstone(record.status)) {
+        return 0;
+    }
+    auto hash = combine(record.id.value(), record.incarnation.value());
+    hash = combine(hash, record.life.value());
+    return combine(hash, record.status == member_status::leaving ? 1U : 0U);
+}
+
+std::uint64_t digest_hash(const move_update& update) noexcept {
+    auto hash = combine(stable_hash(update.key.row.route.value), stable_hash(update.key.row.version.value));
+    hash = combine(hash, update.key.row_version.value());
+    const auto flags = (update.state.done ? 1U : 0U) | (update.state.taken_back ? 2U : 0U);
+    return combine(hash, (std::uint64_t{update.state.stage} << 8U) | flags);
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/membership/dissemination.cpp
@@ -0,0 +1,84 @@
+#include "goldcrestwell/core/membership/dissemination.hpp"
+
+#include <limits>
+
+namespace goldcrestwell {
+
+namespace {
+
+/** Facts looked at for one datagram; bounds the work when many facts do not fit the remaining room. */
+constexpr std::size_t scan_limit = 64;
+/** No fact is smaller, so that less room ends the choice. */
+constexpr std::size_t smallest_fact = 24;
+
+bool is_urgent(const control_priority priority) {
+    return priority <= control_priority::leaving;
+}
+
+} // namespace
+
+void dissemination::add(const fact_key& key, const control_priority priority, const size_type bytes) {
+    erase(key);
+    const entry item{.priority = priority, .bytes = bytes, .sent = 0, .sequence = ++sequence_};
+    entries_.emplace(key, item);
+    order_.insert(rank_of(key, item));
+}
+
+void dissemination::erase(const fact_key& key) {
+    const auto known = entries_.find(key);
+    if (known == entries_.end()) {
+        return;
+    }
+    order_.erase(rank_of(key, known->second));
+    entries_.erase(known);
+}
+
+std::vector<fact_key> dissemination::take(size_type room, const bool urgent_only, const size_type limit) {
+    std::vector<fact_key> taken;
+    size_type scanned = 0;
+    for (const auto& next : order_) {
+        if (room < smallest_fact || ++scanned > scan_limit || (urgent_only && !is_urgent(next.priority))) {
+            break;
+        }
+        const auto bytes = entries_.at(next.key).bytes;
+        if (bytes <= room) {
+            room -= bytes;
+            taken.push_back(next.key);
+        }
+    }
+    for (const auto& key : taken) {
+        count_sent(key, limit);
+    }
+    return taken;
+}
+
+std::optional<control_priority> dissemination::first_priority() const {
+    if (order_.empty()) {
+        return std::nullopt;
+    }
+    return order_.begin()->priority;
+}
+
+bool dissemination::has_urgent() const {
+    const auto first = first_priority();
+    return first && is_urgent(*first);
+}
+
+dissemination::rank dissemination::rank_of(const fact_key& key, const entry& item) {
+    return {.priority = item.priority,
+            .sent = item.sent,
+            .age = std::numeric_limits<std::uint64_t>::max() - item.sequence,
+            .key = key};
+}
+
+void dissemination::count_sent(const fact_key& key, const size_type limit) {
+    const auto known = entries_.find(key);
+    order_.erase(rank_of(key, known->second));
+    if (++known->second.sent >= limit) {
+        entries_.erase(known);
+        return;
+    }
+    order_.insert(rank_of(key, known->second));
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/membership/failure_detector.cpp
@@ -0,0 +1,103 @@
+#include "goldcrestwell/core/membership/failure_detector.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+/** A node is asked for about three probes a second when a tenth of all members fail; more are not its duty. */
+constexpr std::size_t relay_limit = 64;
+
+} // namespace
+
+failure_detector::failure_detector(failure_detector_options options)
+    : options_{std::move(options)}, random_{options_.seed}, sequence_{static_cast<std::uint32_t>(random_())} {}
+
+void failure_detector::start(const steady_time now) {
+    std::uniform_int_distribution<std::chrono::microseconds::rep> offset{
+        0, std::chrono::microseconds{options_.timing.probe_interval}.count()};
+    next_probe_ = now + std::chrono::microseconds{offset(random_)};
+}
+
+void failure_detector::resume(const steady_time now) {
+    probe_.reset();
+    relays_.clear();
+    start(now);
+}
+
+void failure_detector::on_ack(const node_id about, const std::uint32_t sequence, const steady_time now) {
+    expire_relays(now);
+    if (probe_ && probe_->target == about && probe_->sequence == sequence) {
+        probe_.reset();
+        return;
+    }
+    const auto found = relays_.find(sequence);
+    if (found == relays_.end() || found->second.target != about) {
+        return;
+    }
+    const auto asked = found->second;
+    relays_.erase(found);
+    options_.forward_ack(asked.requester, asked.sequence, asked.target);
+}
+
+void failure_detector::on_ping_request(const node_id requester, const node_id target, const std::uint32_t sequence,
+                                       const steady_time now) {
+    expire_relays(now);
+    if (relays_.size() >= relay_limit) {
+        return;
+    }
+    const auto own = ++sequence_;
+    if (options_.send_ping(target, own)) {
+        relays_[own] = {.requester = requester,
+                        .sequence = sequence,
+                        .target = target,
+                        .expiry = now + options_.timing.probe_interval};
+    }
+}
+
+void failure_detector::on_timer(const steady_time now) {
+    if (!next_probe_) {
+        return;
+    }
+    if (probe_ && !probe_->requested && now >= probe_->sent + options_.timing.ack_timeout) {
+        probe_->requested = true;
+        options_.send_requests(probe_->target, probe_->sequence);
+    }
+    if (now < *next_probe_) {
+        return;
+    }
+    if (probe_) {
+        const auto target = probe_->target;
+        probe_.reset();
+        options_.probe_failed(target);
+    }
+    begin_probe(now);
+}
+
+void failure_detector::begin_probe(const steady_time now) {
+    expire_relays(now);
+    next_probe_ = now + options_.timing.probe_interval;
+    const auto target = options_.next_target();
+    if (!target) {
+        return;
+    }
+    const auto sequence = ++sequence_;
+    if (options_.send_ping(*target, sequence)) {
+        probe_ = {.target = *target, .sequence = sequence, .sent = now, .requested = false};
+    }
+}
+
+void failure_detector::expire_relays(const steady_time now) {
+    std::erase_if(relays_, [now](const auto& item) { return item.second.expiry <= now; });
+}
+
+std::optional<steady_time> failure_detector::next_timer() const {
+    if (probe_ && !probe_->requested) {
+        return std::min(*next_probe_, probe_->sent + options_.timing.ack_timeout);
+    }
+    return next_probe_;
+}
+
+} // namespace goldcrestwell
--- a/src/goldcrestwell/core/membership/membership.cpp
+++ b/src/goldcrestwell/core/membership/membership.cpp
@@ -1,23 +1,11 @@
 #include "goldcrestwell/core/membership/membership.hpp"
 
-namespace goldcrestwell {
-
-namespace internal {
-
-/** @brief Everything behind the public interface. */
-class membership_state {
-public:
-    explicit membership_state(membership_options options) : options_{std::move(options)} {
-        members_[options_.self.id] = options_.self;
-    }
+#include "goldcrestwell/core/membership/member_order.hpp"
+#include "goldcrestwell/core/membership/membership_state.hpp"
 
-    membership_options options_;
-    membership_counters counts_;
-    std::map<node_id, member> members_;
-    std::vector<node_id> none_;
-};
+#include <utility>
 
-} // namespace internal
+namespace goldcrestwell {
 
 membership::membership(membership_options options)
     : state_{std::make_unique<internal::membership_state>(std::move(options))} {}
@@ -26,64 +14,97 @@
 membership& membership::operator=(membership&&) noexcept = default;
 membership::~membership() = default;
 
-void membership::start(time_sample) {}
-void membership::on_datagram(const datagram&, time_sample) {}
-void membership::on_sync(node_id, const sync_digest&, time_sample) {}
-void membership::on_sync(node_id, const sync_state&, time_sample) {}
-void membership::on_timer(time_sample) {}
+void membership::start(const time_sample now) {
+    state_->start(now);
+}
+
+void membership::on_datagram(const datagram& message, const time_sample now) {
+    state_->on_datagram(message, now);
+}
+
+void membership::on_sync(const node_id from, const sync_digest& digest, const time_sample now) {
+    state_->on_sync(from, digest, now);
+}
+
+void membership::on_sync(const node_id from, const sync_state& state, const time_sample now) {
+    state_->on_sync(from, state, now);
+}
+
+void membership::on_timer(const time_sample now) {
+    state_->on_timer(now);
+}
 
 std::optional<steady_time> membership::next_timer() const {
-    return std::nullopt;
+    return state_->next_timer();
+}
+
+void membership::announce(const upstream_info& upstream, const time_sample now) {
+    if (state_->self().upstream == upstream || is_tombstone(state_->self().status)) {
+        return;
+    }
+    state_->change_self([&upstream](member& record) { record.upstream = upstream; }, now);
+}
+
+void membership::withdraw(const time_sample now) {
+    if (!state_->self().upstream || is_tombstone(state_->self().status)) {
+        return;
+    }
+    state_->change_self([](member& record) { record.upstream.reset(); }, now);
+}
+
+void membership::leave(const time_sample now) {
+    if (state_->self().status >= member_status::leaving) {
+        return;
+    }
+    state_->change_self([](member& record) { record.status = member_status::leaving; }, now);
 }
 
-void membership::announce(const upstream_info& upstream, time_sample) {
-    state_->members_[state_->options_.self.id].upstream = upstream;
+void membership::depart(const time_sample now) {
+    state_->depart(now);
 }
 
-void membership::withdraw(time_sample) {
-    state_->members_[state_->options_.self.id].upstream.reset();
+void membership::broadcast(const move_update& update, const bool urgent, const time_sample now) {
+    state_->broadcast(update, urgent, now);
 }
 
-void membership::leave(time_sample) {}
-void membership::depart(time_sample) {}
-void membership::broadcast(const move_update&, bool, time_sample) {}
-void membership::set_position(log_offset, time_sample) {}
+void membership::set_position(const log_offset position, const time_sample now) {
+    state_->set_position(position, now);
+}
 
 const member* membership::find(const node_id id) const {
-    const auto found = state_->members_.find(id);
-    return found == state_->members_.end() ? nullptr : &found->second;
+    return state_->table().find(id);
 }
 
 const std::map<node_id, member>& membership::members() const noexcept {
-    return state_->members_;
+    return state_->table().members();
 }
 
-bool membership::reachable(const region&) const {
-    return true;
+bool membership::reachable(const region& name) const {
+    return state_->regions().reachable(name);
 }
 
-const std::vector<node_id>& membership::upstreams(const service_name&, const upstream_version&) const {
-    return state_->none_;
+const std::vector<node_id>& membership::upstreams(const service_name& service, const upstream_version& version) const {
+    return state_->index().upstreams(service, version);
 }
 
-std::vector<node_id> membership::service_nodes(const service_name&) const {
-    return {};
+std::vector<node_id> membership::service_nodes(const service_name& service) const {
+    return state_->index().service_nodes(service);
 }
 
-const std::vector<node_id>& membership::alive_in(const data_centre&) const {
-    return state_->none_;
+const std::vector<node_id>& membership::alive_in(const data_centre& name) const {
+    return state_->index().alive_in(name);
 }
 
 std::vector<node_id> membership::alive() const {
-    return {state_->options_.self.id};
+    return state_->index().alive();
 }
 
-bool membership::spend(size_type, control_priority, time_sample) {
-    return true;
+bool membership::spend(const size_type bytes, const control_priority priority, const time_sample now) {
+    return state_->spend(bytes, priority, now);
 }
 
 const membership_counters& membership::counts() const noexcept {
-    return state_->counts_;
+    return state_->counts();
 }
 
 } // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/membership/membership_spread.cpp
@@ -0,0 +1,234 @@
+#include "goldcrestwell/core/membership/member_order.hpp"
+#include "goldcrestwell/core/membership/membership_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrestwell::internal {
+
+namespace {
+
+/** Largest datagram; smaller than the payload of the smallest common MTU, so that none is fragmented. */
+constexpr std::size_t datagram_limit = 1190;
+/** Array headers that grow with the number of facts. */
+constexpr std::size_t header_slack = 8;
+/** IP and UDP headers. */
+constexpr std::size_t datagram_overhead = 28;
+/** Other nodes asked to probe; with 5 % loss a way, three requests fail together in less than 1 % of cases. */
+constexpr std::size_t request_count = 3;
+/** Members told to a newcomer, so that its next questions go elsewhere. */
+constexpr std::size_t newcomer_members = 4;
+/** Transmissions beyond ln(n): exp(-3) nodes out of all are then expected to miss a fact. */
+constexpr double extra_transmissions = 3.0;
+
+} // namespace
+
+void membership_state::spread(const member& record, const bool urgent) {
+    datagram sample;
+    sample.members.push_back(compact(record));
+    queue_.add(record.id, urgent ? control_priority::leaving : control_priority::join,
+               options_.wire_size(sample) - empty_size_);
+    if (urgent) {
+        request_push();
+    }
+}
+
+void membership_state::spread(const move_update& update, const bool urgent) {
+    datagram sample;
+    sample.moves.push_back(update);
+    queue_.add(update.key.row, urgent ? control_priority::take_back : control_priority::position,
+               options_.wire_size(sample) - empty_size_);
+    if (urgent) {
+        request_push();
+    }
+}
+
+void membership_state::request_push() {
+    const auto soonest = last_push_ ? std::max(now_, *last_push_ + options_.timing.push_gap) : now_;
+    if (!push_due_ || soonest < *push_due_) {
+        push_due_ = soonest;
+    }
+}
+
+void membership_state::push_if_due() {
+    if (push_due_ && now_ >= *push_due_) {
+        push();
+    }
+}
+
+void membership_state::push() {
+    push_due_.reset();
+    last_push_ = now_;
+    const auto priority =
+        queue_.has_urgent() ? queue_.first_priority().value_or(control_priority::position) : control_priority::position;
+    for (const auto target : peers_.choose(push_fan_out, self_)) {
+        if (!send(target, make(datagram_kind::push, 0, {}), priority, true)) {
+            break;
+        }
+    }
+    position_rounds_ -= position_rounds_ > 0 ? 1U : 0U;
+    if (!peers_.empty() && (queue_.has_urgent() || position_rounds_ > 0)) {
+        push_due_ = now_ + options_.timing.push_interval;
+    }
+}
+
+membership_state::size_type membership_state::retransmit_limit() const {
+    return static_cast<size_type>(std::ceil(std::log(static_cast<double>(peers_.size() + 2)) + extra_transmissions));
+}
+
+member membership_state::compact(const member& record) {
+    if (record.status == member_status::alive) {
+        return record;
+    }
+    auto status_only = record;
+    status_only.data_centre = {};
+    status_only.region = {};
+    status_only.upstream.reset();
+    return status_only;
+}
+
+datagram membership_state::make(const datagram_kind kind, const std::uint32_t sequence, const node_id target) const {
+    return {.kind = kind,
+            .sender = self_,
+            .life = options_.self.life,
+            .sequence = sequence,
+            .target = target,
+            .position = position_,
+            .members = {},
+            .moves = {}};
+}
+
+bool membership_state::send_ping(const node_id target, const std::uint32_t sequence) {
+    ++counts_.probes;
+    auto ping = make(datagram_kind::ping, sequence, target);
+    const auto* known = table_.find(target);
+    // A target that hears about the suspicion refutes it in the ack.
+    if (known != nullptr && known->status != member_status::alive) {
+        ping.members.push_back(compact(*known));
+    }
+    return send(target, std::move(ping), control_priority::detection, false);
+}
+
+void membership_state::send_requests(const node_id target, const std::uint32_t sequence) {
+    for (const auto via : peers_.choose(request_count, target)) {
+        ++counts_.indirect_probes;
+        (void)send(via, make(datagram_kind::ping_request, sequence, target), control_priority::detection, false);
+    }
+}
+
+void membership_state::send_join_ping(const node_id target) {
+    ++counts_.join_pings;
+    auto ping = make(datagram_kind::ping, 0, target);
+    ping.members.push_back(compact(self()));
+    const auto* known = table_.find(target);
+    if (known != nullptr && known->status != member_status::alive) {
+        ping.members.push_back(compact(*known));
+    }
+    (void)send(target, std::move(ping), control_priority::join, true);
+}
+
+void membership_state::answer_ping(const datagram& ping, const bool newcomer) {
+    auto ack = make(datagram_kind::ack, ping.sequence, self_);
+    if (refuted_ || newcomer) {
+        ack.members.push_back(compact(self()));
+    }
+    const auto* known = table_.find(ping.sender);
+    if (known != nullptr && known->status != member_status::alive) {
+        ack.members.push_back(compact(*known));
+    }
+    if (newcomer) {
+        append_random_members(ack, ping.sender);
+    }
+    (void)send(ping.sender, std::move(ack), newcomer ? control_priority::join : control_priority::detection, false);
+}
+
+void membership_state::append_random_members(datagram& message, const node_id excluded) {
+    for (const auto id : peers_.choose(newcomer_members, excluded)) {
+        message.members.push_back(*table_.find(id));
+        if (options_.wire_size(message) > datagram_limit) {
+            message.members.pop_back();
+            return;
+        }
+    }
+}
+
+bool membership_state::send(const node_id to, datagram message, const control_priority priority,
+                            const bool urgent_only) {
+    const auto bare = options_.wire_size(message);
+    if (!budget_.spend(bare + datagram_overhead, priority, now_)) {
+        return false;
+    }
+    const auto first = queue_.first_priority();
+    if (first && bare + header_slack < datagram_limit) {
+        const auto room = std::min(datagram_limit - bare, budget_.available(*first, now_));
+        // Facts of a lower priority must not be paid from the room kept free for urgent ones.
+        const auto only_urgent = urgent_only || budget_.available(control_priority::join, now_) < datagram_limit;
+        append_facts(message, room > header_slack ? room - header_slack : 0, only_urgent);
+        const auto facts = options_.wire_size(message) - bare;
+        if (facts > 0) {
+            (void)budget_.spend(facts, *first, now_);
+        }
+    }
+    options_.send_datagram(to, message);
+    return true;
+}
+
+void membership_state::append_facts(datagram& message, const size_type room, const bool urgent_only) {
+    for (const auto& key : queue_.take(room, urgent_only, retransmit_limit())) {
+        if (const auto* id = std::get_if<node_id>(&key)) {
+            const auto* record = table_.find(*id);
+            if (record != nullptr && !withheld(*record)) {
+                message.members.push_back(compact(*record));
+            }
+        } else if (const auto* update = moves_.find(std::get<row_key>(key))) {
+            message.moves.push_back(*update);
+        }
+    }
+    while (options_.wire_size(message) > datagram_limit && !message.members.empty()) {
+        message.members.pop_back();
+    }
+}
+
+void membership_state::on_datagram(const datagram& message, const time_sample now) {
+    enter(now.steady);
+    if (!started_ || message.sender == self_) {
+        return;
+    }
+    const auto* known = table_.find(message.sender);
+    if (known != nullptr && message.life < known->life) {
+        ++counts_.old_life_datagrams;
+        return;
+    }
+    const auto newcomer = known == nullptr || known->life < message.life;
+    refuted_ = false;
+    for (const auto& record : message.members) {
+        learn(record, source::gossip);
+    }
+    for (const auto& update : message.moves) {
+        receive_move(update);
+    }
+    if (message.position && options_.position_received) {
+        options_.position_received(message.sender, message.position);
+    }
+    switch (message.kind) {
+    case datagram_kind::ping:
+        answer_ping(message, newcomer);
+        break;
+    case datagram_kind::ack: {
+        const auto about = message.target ? message.target : message.sender;
+        const auto* answered = table_.find(about);
+        if (answered != nullptr && answered->status == member_status::leaving) {
+            suspicions_.cancel(about);
+        }
+        detector_.on_ack(about, message.sequence, now_);
+        break;
+    }
+    case datagram_kind::ping_request:
+        detector_.on_ping_request(message.sender, message.target, message.sequence, now_);
+        break;
+    case datagram_kind::push:
+        break;
+    }
+}
+
+} // namespace goldcrestwell::internal
--- /dev/null
+++ b/src/goldcrestwell/core/membership/membership_state.cpp
@@ -0,0 +1,228 @@
+#include "goldcrestwell/core/membership/membership_state.hpp"
+
+#include "goldcrestwell/core/membership/member_order.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <initializer_list>
+#include <utility>
+
+namespace goldcrestwell::internal {
+
+namespace {
+
+/** Distinguish the random sequences of the parts. */
+constexpr std::uint64_t detector_seed = 0x64657465;
+constexpr std::uint64_t joiner_seed = 0x6A6F696E;
+constexpr std::uint64_t sync_seed = 0x73796E63;
+
+incarnation next_after(const incarnation value) {
+    return incarnation{value.value() + 1};
+}
+
+std::optional<steady_time> earliest(const std::initializer_list<std::optional<steady_time>> times) {
+    std::optional<steady_time> result;
+    for (const auto& time : times) {
+        if (time && (!result || *time < *result)) {
+            result = time;
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+membership_state::membership_state(membership_options options)
+    : options_{std::move(options)}, self_{options_.self.id}, budget_{options_.bytes_per_second, counts_},
+      peers_{options_.seed}, regions_{options_.self.region}, table_{options_.timing.tombstone_time,
+                                                                    [this](const member* before, const member* after) {
+                                                                        table_changed(before, after);
+                                                                    }},
+      detector_{make_detector()}, joiner_{make_joiner()}, sync_{make_sync()}, empty_size_{
+                                                                                  options_.wire_size(datagram{})} {
+    table_.apply(options_.self, now_);
+}
+
+failure_detector membership_state::make_detector() {
+    return failure_detector{{.timing = options_.timing,
+                             .seed = options_.seed ^ detector_seed,
+                             .next_target = [this] { return peers_.next(); },
+                             .send_ping = [this](const node_id target,
+                                                 const std::uint32_t sequence) { return send_ping(target, sequence); },
+                             .send_requests = [this](const node_id target,
+                                                     const std::uint32_t sequence) { send_requests(target, sequence); },
+                             .forward_ack =
+                                 [this](const node_id requester, const std::uint32_t sequence, const node_id target) {
+                                     (void)send(requester, make(datagram_kind::ack, sequence, target),
+                                                control_priority::detection, false);
+                                 },
+                             .probe_failed =
+                                 [this](const node_id target) {
+                                     probe_failed(target);
+                                 }}};
+}
+
+seed_joiner membership_state::make_joiner() {
+    auto seeds = options_.seeds;
+    std::erase(seeds, self_);
+    return seed_joiner{{.timing = options_.timing,
+                        .seeds = std::move(seeds),
+                        .seed = options_.seed ^ joiner_seed,
+                        .alone = [this] { return peers_.empty(); },
+                        .lost = [this] { return lost_members(); },
+                        .ping =
+                            [this](const node_id target) {
+                                send_join_ping(target);
+                            }}};
+}
+
+anti_entropy membership_state::make_sync() {
+    anti_entropy_options options{
+        .timing = options_.timing,
+        .seed = options_.seed ^ sync_seed,
+        .choose_peer = [this]() -> std::optional<node_id> {
+            const auto chosen = peers_.choose(1, self_);
+            return chosen.empty() ? std::nullopt : std::optional{chosen.front()};
+        },
+        .moves = [this] { return options_.known_moves ? options_.known_moves() : moves_.states(); },
+        .outgoing =
+            [this](const member& record) {
+                auto copy = record;
+                copy.status = withheld(record) ? member_status::alive : record.status;
+                return copy;
+            },
+        .state_size =
+            [this](const sync_state& state) {
+                datagram same_facts;
+                same_facts.members = state.members;
+                same_facts.moves = state.moves;
+                return options_.wire_size(same_facts);
+            },
+        .send_digest =
+            [this](const node_id to, const sync_digest& digest) {
+                ++counts_.syncs;
+                options_.send_frame(to, digest);
+            },
+        .send_state =
+            [this](const node_id to, const sync_state& state) {
+                options_.send_frame(to, state);
+            }};
+    return anti_entropy{std::move(options), table_, budget_};
+}
+
+void membership_state::start(const time_sample now) {
+    now_ = now.steady;
+    started_ = true;
+    detector_.start(now_);
+    joiner_.start(now_);
+    sync_.catch_up(now_);
+    spread(self(), false);
+}
+
+void membership_state::on_timer(const time_sample now) {
+    enter(now.steady);
+    if (!started_) {
+        return;
+    }
+    detector_.on_timer(now_);
+    expire_suspicions();
+    joiner_.on_timer(now_);
+    push_if_due();
+    sync_.on_timer(now_);
+    table_.expire(now_);
+}
+
+std::optional<steady_time> membership_state::next_timer() const {
+    if (!started_) {
+        return std::nullopt;
+    }
+    return earliest({detector_.next_timer(), suspicions_.next_deadline(), joiner_.next_timer(), push_due_,
+                     sync_.next_timer(), table_.next_expiry()});
+}
+
+void membership_state::enter(const steady_time now) {
+    const auto expected = next_timer();
+    now_ = std::max(now_, now);
+    if (expected && now > *expected + options_.timing.pause_threshold) {
+        note_pause();
+    }
+}
+
+void membership_state::note_pause() {
+    ++counts_.pauses;
+    detector_.resume(now_);
+    suspicions_.restart_all(now_ + suspicion_timeout());
+    joiner_.start(now_);
+    sync_.catch_up(now_);
+    // Others may have declared this node dead and forgotten it, so its record has to spread again.
+    if (!is_tombstone(self().status)) {
+        change_self([](member&) {}, {.steady = now_, .wall = {}});
+    }
+}
+
+std::chrono::microseconds membership_state::suspicion_timeout() const {
+    const auto nodes = static_cast<double>(peers_.size() + 1);
+    const std::chrono::duration<double, std::milli> timeout =
+        std::chrono::duration<double, std::milli>{options_.timing.suspicion_unit} * std::log(nodes + 1.0);
+    return std::chrono::duration_cast<std::chrono::microseconds>(timeout);
+}
+
+void membership_state::change_self(const std::function<void(member&)>& change, const time_sample now) {
+    now_ = std::max(now_, now.steady);
+    const auto before = self();
+    auto after = before;
+    change(after);
+    after.incarnation = next_after(before.incarnation);
+    table_.apply(after, now_);
+    spread(after, after.status == member_status::leaving || (before.upstream && !after.upstream));
+}
+
+void membership_state::depart(const time_sample now) {
+    if (self().status == member_status::left) {
+        return;
+    }
+    change_self([](member& record) { record.status = member_status::left; }, now);
+    spread(self(), true);
+    push();
+}
+
+void membership_state::on_sync(const node_id from, const sync_digest& digest, const time_sample now) {
+    enter(now.steady);
+    sync_.on_digest(from, digest, now_);
+}
+
+void membership_state::on_sync(const node_id /*from*/, const sync_state& state, const time_sample now) {
+    enter(now.steady);
+    const auto before = table_.digests(0);
+    for (const auto& record : state.members) {
+        learn(record, source::exchange);
+    }
+    for (const auto& update : state.moves) {
+        receive_move(update);
+    }
+    if (table_.digests(0) != before) {
+        sync_.on_news(now_);
+    }
+}
+
+bool membership_state::spend(const size_type bytes, const control_priority priority, const time_sample now) {
+    return budget_.spend(bytes, priority, now.steady);
+}
+
+void membership_state::set_position(const log_offset position, const time_sample now) {
+    now_ = std::max(now_, now.steady);
+    if (position <= position_) {
+        return;
+    }
+    position_ = position;
+    position_rounds_ = retransmit_limit() / push_fan_out;
+    request_push();
+}
+
+void membership_state::broadcast(const move_update& update, const bool urgent, const time_sample now) {
+    now_ = std::max(now_, now.steady);
+    moves_.merge(update);
+    spread(update, urgent);
+}
+
+} // namespace goldcrestwell::internal
--- /dev/null
+++ b/src/goldcrestwell/core/membership/peer_list.cpp
@@ -0,0 +1,76 @@
+#include "goldcrestwell/core/membership/peer_list.hpp"
+
+#include <algorithm>
+
+namespace goldcrestwell {
+
+namespace {
+
+/** Draws per wanted member before `choose` gives up on a nearly empty list. */
+constexpr std::size_t draws_per_choice = 4;
+
+} // namespace
+
+void peer_list::insert(const node_id id) {
+    if (places_.contains(id.value())) {
+        return;
+    }
+    places_[id.value()] = nodes_.size();
+    nodes_.push_back(id);
+    swap_places(nodes_.size() - 1, random_place());
+}
+
+void peer_list::erase(const node_id id) {
+    const auto found = places_.find(id.value());
+    if (found == places_.end()) {
+        return;
+    }
+    auto hole = found->second;
+    // The visited part of the list stays in front of the cursor.
+    if (hole < cursor_) {
+        swap_places(hole, cursor_ - 1);
+        hole = --cursor_;
+    }
+    swap_places(hole, nodes_.size() - 1);
+    nodes_.pop_back();
+    places_.erase(id.value());
+}
+
+std::optional<node_id> peer_list::next() {
+    if (nodes_.empty()) {
+        return std::nullopt;
+    }
+    if (cursor_ >= nodes_.size()) {
+        cursor_ = 0;
+    }
+    // Choosing among the members not yet visited keeps the order random without a pause for a shuffle of the list.
+    std::uniform_int_distribution<size_type> place{cursor_, nodes_.size() - 1};
+    swap_places(cursor_, place(random_));
+    return nodes_[cursor_++];
+}
+
+std::vector<node_id> peer_list::choose(const size_type count, const node_id excluded) {
+    std::vector<node_id> chosen;
+    if (nodes_.empty()) {
+        return chosen;
+    }
+    for (size_type draw = 0; draw < count * draws_per_choice && chosen.size() < count; ++draw) {
+        const auto id = nodes_[random_place()];
+        if (id != excluded && std::find(chosen.begin(), chosen.end(), id) == chosen.end()) {
+            chosen.push_back(id);
+        }
+    }
+    return chosen;
+}
+
+void peer_list::swap_places(const size_type left, const size_type right) {
+    std::swap(nodes_[left], nodes_[right]);
+    places_[nodes_[left].value()] = left;
+    places_[nodes_[right].value()] = right;
+}
+
+peer_list::size_type peer_list::random_place() {
+    return std::uniform_int_distribution<size_type>{0, nodes_.size() - 1}(random_);
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/core/membership/peer_list.hpp
@@ -0,0 +1,51 @@
+#ifndef GOLDCRESTWELL_CORE_MEMBERSHIP_PEER_LIST_HPP
+#define GOLDCRESTWELL_CORE_MEMBERSHIP_PEER_LIST_HPP
+
+#include "goldcrestwell/core/common/node_id.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace goldcrestwell {
+
+/**
+ * @brief Members to probe and to push to, without this node.
+ *
+ * Insertion, removal and choice take constant time; a round of probes visits each member once in random order.
+ */
+class peer_list {
+public:
+    using size_type = std::size_t;
+
+    explicit peer_list(std::uint64_t seed) : random_{seed} {}
+
+    /** @brief Adds a member at a random place of the round; without effect if it is present. */
+    void insert(node_id id);
+    void erase(node_id id);
+
+    /** @return The next member of the round, or nothing if the list is empty. */
+    [[nodiscard]] std::optional<node_id> next();
+
+    /** @return Up to `count` distinct members, chosen at random, without `excluded`. */
+    [[nodiscard]] std::vector<node_id> choose(size_type count, node_id excluded);
+
+    [[nodiscard]] size_type size() const noexcept { return nodes_.size(); }
+    [[nodiscard]] bool empty() const noexcept { return nodes_.empty(); }
+
+private:
+    void swap_places(size_type left, size_type right);
+    [[nodiscard]] size_type random_place();
+
+    std::mt19937_64 random_;
+    std::vector<node_id> nodes_;
+    std::unordered_map<std::uint64_t, size_type> places_;
+    size_type cursor_{};
+};
+
+} // namespace goldcrestwell
+
+#endif
