Add the msgpack codecs of frames, datagrams, records and log answers

Cause: nodes need one encoding for every message and log record, and no input from a peer or the log may crash a node or fill its memory. Decoders check versions, kinds, counts, ranges and names, give a typed reason and never throw.

--- a/src/goldcrestwell/codec/codec_reason.hpp
+++ b/src/goldcrestwell/codec/codec_reason.hpp
@@ -13,13 +13,14 @@
     truncated,
     malformed,
     wrong_type,
+    unknown_version,
     unknown_kind,
     out_of_range,
     too_large,
 };
 
 /** @brief Number of enumerators of `codec_reason`. */
-inline constexpr std::size_t codec_reason_count = 7;
+inline constexpr std::size_t codec_reason_count = 8;
 
 /** @return The name used in logs and error messages. */
 [[nodiscard]] std::string_view to_string(codec_reason value) noexcept;
--- /dev/null
+++ b/src/goldcrestwell/codec/wire_valid.cpp
@@ -0,0 +1,85 @@
+#include "goldcrestwell/codec/wire_valid.hpp"
+
+namespace goldcrestwell::internal {
+
+namespace {
+
+constexpr unsigned endpoint_bits = 48;
+constexpr std::uint32_t lowest_final_status = 200;
+constexpr std::uint32_t highest_status = 999;
+
+bool holds_line_break(const std::string& text) noexcept {
+    return text.find_first_of(std::string_view{"\r\n\0", 3}) != std::string::npos;
+}
+
+} // namespace
+
+bool is_valid(const node_id value) noexcept {
+    return !value || ((value.value() >> endpoint_bits) == 0 && value.port() != 0);
+}
+
+bool is_valid(const share value) noexcept {
+    return value <= full_share;
+}
+
+bool is_valid(const attempt_id& value) noexcept {
+    return static_cast<bool>(value.origin);
+}
+
+bool is_valid(const checkpoint_part& value) noexcept {
+    return value.index < value.count;
+}
+
+bool is_valid(const datagram& value) noexcept {
+    return static_cast<bool>(value.sender);
+}
+
+bool is_valid(const evidence_report& value) noexcept {
+    return static_cast<bool>(value.from);
+}
+
+bool is_valid(const evidence_window& value) noexcept {
+    return value.failures <= value.calls;
+}
+
+bool is_valid(const hello& value) noexcept {
+    return static_cast<bool>(value.sender);
+}
+
+bool is_valid(const http_answer& value) noexcept {
+    return value.status >= lowest_final_status && value.status <= highest_status && value.body.size() <= max_body_bytes;
+}
+
+// A line break would let one header line become two when it is written to a connection.
+bool is_valid(const http_header& value) noexcept {
+    return !value.name.empty() && !holds_line_break(value.name) && !holds_line_break(value.value);
+}
+
+bool is_valid(const call_request& value) noexcept {
+    return !value.method.empty() && !holds_line_break(value.method) && !value.target.empty() &&
+           !holds_line_break(value.target) && value.body.size() <= max_body_bytes;
+}
+
+bool is_valid(const member& value) noexcept {
+    return static_cast<bool>(value.id) && value.incarnation >= value.life;
+}
+
+bool is_valid(const move_state& value) noexcept {
+    return value.stage <= max_move_stage;
+}
+
+bool is_valid(const record_batch& value) noexcept {
+    if (value.through < value.after) {
+        return false;
+    }
+    log_offset last = value.after;
+    for (const auto& record : value.records) {
+        if (record.offset <= last || record.offset > value.through) {
+            return false;
+        }
+        last = record.offset;
+    }
+    return true;
+}
+
+} // namespace goldcrestwell::internal
