--- /dev/null
+++ b/test/stand_in/upstream_faults.hpp
@@ -0,0 +1,50 @@
+#ifndef GOLDCRESTWELL_TEST_STAND_IN_UPSTREAM_FAULTS_HPP
+#define GOLDCRESTWELL_TEST_STAND_IN_UPSTREAM_FAULTS_HPP
+
+#include "stand_in/http_service.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace goldcrestwell::test {
+
+/** @brief How the upstream ends one call. */
+enum class call_ending : std::uint8_t { answer, fail, hang, truncate };
+
+/** @brief What the injected faults do to one call. */
+struct call_plan {
+    call_ending ending{call_ending::answer};
+    std::chrono::milliseconds extra{};
+};
+
+/** @brief Faults injected into an upstream's calls. */
+class upstream_faults {
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    explicit upstream_faults(const std::uint64_t seed) : engine_{seed} {}
+
+    /** @brief Takes over the named faults; the others stay as they are. */
+    void set(const parameters& query, time_point now);
+    /** @return What to do with a call that arrives while `load` calls are in progress. */
+    [[nodiscard]] call_plan plan(std::string_view path, std::uint64_t load, time_point now);
+    /** @return The faults as JSON. */
+    [[nodiscard]] std::string shown() const;
+
+private:
+    std::mt19937_64 engine_;
+    std::uint64_t fail_percent_{};
+    std::uint64_t hang_percent_{};
+    std::uint64_t truncate_percent_{};
+    std::uint64_t load_threshold_{};
+    std::chrono::milliseconds slow_{};
+    std::chrono::seconds after_{};
+    time_point set_at_;
+    std::string only_route_;
+};
+
+} // namespace goldcrestwell::test
+
+#endif
