Keep share_of in one place

Cause: the configuration and the rollout module each defined share_of with the same signature, and the program did not link. Change: one definition beside version_share. Conclusion: shared arithmetic on messages belongs to core/message.

--- a/src/goldcrestwell/core/config/route_state.cpp
+++ b/src/goldcrestwell/core/config/route_state.cpp
@@ -54,12 +54,6 @@
     return shares;
 }
 
-share share_of(const std::vector<version_share>& shares, const upstream_version& version) noexcept {
-    const auto place = std::find_if(shares.begin(), shares.end(),
-                                    [&version](const version_share& part) { return part.version == version; });
-    return place != shares.end() ? place->share : share{};
-}
-
 bool references_closed(const route_state& state) {
     if (state.rows.empty() || state.service.empty() || sum_of(state.base) != full_share.value()) {
         return false;
--- a/src/goldcrestwell/core/config/route_state.hpp
+++ b/src/goldcrestwell/core/config/route_state.hpp
@@ -37,9 +37,6 @@
  */
 [[nodiscard]] std::vector<version_share> target_shares(const std::vector<table_row>& rows);
 
-/** @return Share of a version; zero if it is not named. */
-[[nodiscard]] share share_of(const std::vector<version_share>& shares, const upstream_version& version) noexcept;
-
 /** @return True if every reference inside the state has its target: one service, shares that sum up, facts of rows. */
 [[nodiscard]] bool references_closed(const route_state& state);
 
--- a/src/goldcrestwell/core/message/version_share.hpp
+++ b/src/goldcrestwell/core/message/version_share.hpp
@@ -4,6 +4,8 @@
 #include "goldcrestwell/core/common/names.hpp"
 #include "goldcrestwell/core/common/share.hpp"
 
+#include <vector>
+
 namespace goldcrestwell {
 
 /** @brief Share of a route's traffic for one upstream version. */
@@ -14,6 +16,9 @@
     [[nodiscard]] friend bool operator==(const version_share&, const version_share&) = default;
 };
 
+/** @return Share of a version; zero if it is not named. */
+[[nodiscard]] share share_of(const std::vector<version_share>& shares, const upstream_version& version) noexcept;
+
 } // namespace goldcrestwell
 
 #endif
--- a/src/goldcrestwell/core/node/node_options.hpp
+++ b/src/goldcrestwell/core/node/node_options.hpp
@@ -17,7 +17,7 @@
 namespace goldcrestwell {
 
 /** @brief Limits of calls. */
-struct call_limits {
+struct call_options {
     std::chrono::milliseconds default_timeout{10'000};
     std::uint32_t max_hops{8};
     std::uint32_t max_retries{2};
@@ -25,7 +25,7 @@
 };
 
 /** @brief Settings of moves. */
-struct move_settings {
+struct move_options {
     schedule_limits schedule;
     /** @brief Interval of evidence reports and of decisions. */
     std::chrono::milliseconds tick{1'000};
@@ -34,7 +34,7 @@
 };
 
 /** @brief Settings of the follower of the log. */
-struct log_settings {
+struct follower_options {
     std::chrono::milliseconds retention{std::chrono::hours{24}};
     std::chrono::milliseconds long_poll{20'000};
 };
@@ -51,9 +51,9 @@
     membership_timing membership;
     /** @brief Control bytes that may be sent in a second. */
     std::size_t control_bytes_per_second{7'000};
-    call_limits calls;
-    move_settings moves;
-    log_settings log;
+    call_options calls;
+    move_options moves;
+    follower_options log;
     /** @brief Time without an announcement after which the upstream counts as gone. */
     std::chrono::milliseconds announcement_expiry{5'000};
     /** @brief A draining node keeps refusing for this long, so that other nodes learn that it leaves. */
--- a/src/goldcrestwell/core/rollout/route_shares.cpp
+++ b/src/goldcrestwell/core/rollout/route_shares.cpp
@@ -114,12 +114,6 @@
 
 } // namespace
 
-share share_of(const std::vector<version_share>& shares, const upstream_version& version) noexcept {
-    const auto found = std::find_if(shares.begin(), shares.end(),
-                                    [&version](const version_share& entry) { return entry.version == version; });
-    return found == shares.end() ? share{} : found->share;
-}
-
 bool is_candidate(const route_plan& plan, const upstream_version& version) noexcept {
     return share_of(plan.target, version) > share_of(plan.base, version);
 }
--- a/src/goldcrestwell/core/rollout/route_shares.hpp
+++ b/src/goldcrestwell/core/rollout/route_shares.hpp
@@ -10,9 +10,6 @@
 
 namespace goldcrestwell {
 
-/** @return A version's share in a list, or zero. */
-[[nodiscard]] share share_of(const std::vector<version_share>& shares, const upstream_version& version) noexcept;
-
 /** @return True if the version's share grows in the plan's move. */
 [[nodiscard]] bool is_candidate(const route_plan& plan, const upstream_version& version) noexcept;
 
