Add the settings reader, its documentation and two example files

Cause: a node needs its addresses and limits from a file, and a misspelt key or a wrong unit must not go unnoticed. Change: one list of keys describes each setting and reads it; all faults of a file are reported with key path and typed reason, unknown and duplicate keys included. docs/settings.md lists every key; the examples suit the print works and the association. Conclusion: the table cannot drift from the reader.

--- /dev/null
+++ b/test/codec/settings.cpp
@@ -0,0 +1,151 @@
+#include "goldcrestwell/codec/settings_reader.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+using namespace goldcrestwell;
+
+namespace {
+
+std::string read_file(const std::string& name) {
+    const std::ifstream file{std::string{GOLDCRESTWELL_SOURCE_DIR "/"} + name};
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// A valid file, changed by the members of a JSON merge patch; null removes a key.
+std::string with(const std::string& changes) {
+    auto document = nlohmann::json::parse(
+        R"({"host": "10.0.0.1", "peer_port": 7400, "data_centre": "a", "region": "r",
+            "caller_listener": {"port": 8080}, "admin_listener": {"port": 8081},
+            "platform_log": {"address": "10.0.0.5:9000"}})");
+    document.merge_patch(nlohmann::json::parse("{" + changes + "}"));
+    return document.dump();
+}
+
+struct bad_case {
+    const char* extra;
+    const char* key;
+    settings_reason reason;
+};
+
+constexpr bad_case bad_cases[] = {
+    {R"("hots": 1)", "hots", settings_reason::unknown_key},
+    {R"("calls": {"max_hop": 1})", "calls.max_hop", settings_reason::unknown_key},
+    {R"("calls": {"max_hops": 0})", "calls.max_hops", settings_reason::out_of_range},
+    {R"("calls": {"max_hops": -1})", "calls.max_hops", settings_reason::out_of_range},
+    {R"("calls": {"max_hops": 1e30})", "calls.max_hops", settings_reason::wrong_type},
+    {R"("calls": {"max_hops": 2.5})", "calls.max_hops", settings_reason::wrong_type},
+    {R"("calls": {"max_hops": "8"})", "calls.max_hops", settings_reason::wrong_type},
+    {R"("calls": {"max_hops": true})", "calls.max_hops", settings_reason::wrong_type},
+    {R"("calls": [])", "calls", settings_reason::wrong_type},
+    {R"("calls": {"default_timeout_ms": 18446744073709551615})", "calls.default_timeout_ms",
+     settings_reason::out_of_range},
+    {R"("seeds": "10.0.0.1:1")", "seeds", settings_reason::wrong_type},
+    {R"("seeds": ["10.0.0.1:1", "10.0.0.1"])", "seeds[1]", settings_reason::not_an_endpoint},
+    {R"("host": "10.0.0.256")", "host", settings_reason::not_an_address},
+    {R"("host": "10.0.0.1:5")", "host", settings_reason::not_an_address},
+    {R"("host": "0.0.0.0")", "host", settings_reason::contradicts},
+    {R"("peer_port": 65536)", "peer_port", settings_reason::out_of_range},
+    {R"("region": "")", "region", settings_reason::not_a_name},
+    {R"("region": "a/b")", "region", settings_reason::not_a_name},
+    {R"("logging": {"level": "verbose"})", "logging.level", settings_reason::not_a_level},
+    {R"("membership": {"probe_timeout_ms": 1000})", "membership.probe_timeout_ms", settings_reason::contradicts},
+    {R"("platform_log": {"address": null})", "platform_log.address", settings_reason::missing},
+    {R"("platform_log": {"address": "log:9000"})", "platform_log.address", settings_reason::not_an_endpoint},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+// Guards against a node that starts with a setting the operator did not mean.
+BOOST_AUTO_TEST_CASE(each_fault_is_reported_with_its_key) {
+    settings_reader reader;
+    BOOST_REQUIRE(reader.read(with("")).has_value());
+    for (const auto& bad : bad_cases) {
+        BOOST_TEST_CONTEXT(bad.extra) {
+            BOOST_TEST(!reader.read(with(bad.extra)).has_value());
+            BOOST_REQUIRE(reader.faults().size() == 1U);
+            BOOST_TEST(reader.faults().front().key == bad.key);
+            BOOST_TEST(to_string(reader.faults().front().reason) == to_string(bad.reason));
+        }
+    }
+}
+
+// Guards against a check that makes operators correct one fault a run.
+BOOST_AUTO_TEST_CASE(all_faults_are_reported_at_once) {
+    settings_reader reader;
+    BOOST_TEST(!reader.read("{}").has_value());
+    BOOST_TEST(reader.faults().size() == 7U);
+    BOOST_TEST(!reader.read(R"({"host": 1, "calls": {"max_hops": 0, "x": 1}, "y": 2})").has_value());
+    BOOST_TEST(reader.faults().size() == 10U);
+}
+
+// Guards against a crash or an accepted file when the text is not a JSON object.
+BOOST_AUTO_TEST_CASE(text_that_is_no_object_is_refused) {
+    settings_reader reader;
+    for (const auto* text : {"", "{", "[]", "1", "{\"host\": \"\xFF\"}", "{,}", "/* open", "{\"host\": 1,}"}) {
+        BOOST_TEST(!reader.read(text).has_value(), text);
+        BOOST_TEST(!reader.faults().empty(), text);
+    }
+    BOOST_TEST(!reader.read(std::string(100'000, '[')).has_value());
+}
+
+// Guards against a file in which a later line silently replaces an earlier one.
+BOOST_AUTO_TEST_CASE(duplicate_keys_are_refused) {
+    settings_reader reader;
+    auto text = with("");
+    text.insert(1, R"("calls": {"max_hops": 1, "max_hops": 2}, "region": "x", )");
+    BOOST_TEST(!reader.read(text).has_value());
+    BOOST_REQUIRE(reader.faults().size() == 2U);
+    BOOST_TEST(to_string(reader.faults()[0]) == "calls.max_hops: duplicate_key");
+    BOOST_TEST(to_string(reader.faults()[1]) == "region: duplicate_key");
+}
+
+// Guards against defaults or units that get lost between the file and the struct.
+BOOST_AUTO_TEST_CASE(values_and_defaults_reach_the_struct) {
+    settings_reader reader;
+    const auto read = reader.read(with(R"("moves": {"bake_time_s": 7, "dwell_ms": 250})") + "// comment");
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(to_string(read->self) == "10.0.0.1:7400");
+    BOOST_TEST((read->moves.bake_time == std::chrono::seconds{7}));
+    BOOST_TEST((read->moves.dwell == std::chrono::milliseconds{250}));
+    BOOST_TEST((read->moves.default_duration == std::chrono::minutes{10}));
+    BOOST_TEST(read->admin_listener.address == "127.0.0.1");
+}
+
+// Guards against documentation that names other keys, units, defaults or ranges than the reader accepts.
+BOOST_AUTO_TEST_CASE(documentation_lists_exactly_the_accepted_settings) {
+    std::istringstream document{read_file("docs/settings.md")};
+    std::vector<std::string> listed;
+    for (std::string line; std::getline(document, line);) {
+        if (line.starts_with("| `") && line.find("` | ") != std::string::npos && std::ranges::count(line, '|') == 6) {
+            listed.push_back(line.substr(0, line.rfind('|', line.size() - 2)));
+        }
+    }
+    std::vector<std::string> accepted;
+    for (const auto& setting : settings_reader::descriptions()) {
+        accepted.push_back("| `" + setting.key + "` | " + setting.unit + " | " + setting.fallback + " | " +
+                           setting.range + " ");
+    }
+    BOOST_TEST(listed == accepted, boost::test_tools::per_element());
+}
+
+// Guards against example files that a node would refuse.
+BOOST_AUTO_TEST_CASE(example_files_are_valid) {
+    settings_reader reader;
+    const auto print_works = reader.read(read_file("examples/print-works.json"));
+    BOOST_REQUIRE(print_works.has_value());
+    const auto association = reader.read(read_file("examples/association.json"));
+    BOOST_REQUIRE(association.has_value());
+    BOOST_TEST((print_works->moves.default_duration < association->moves.default_duration));
+    BOOST_TEST((print_works->moves.bake_time < association->moves.bake_time));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
