Add the CSV codec of the operators' table

Cause: operators edit the table in spreadsheets; a mistake must be found with its place, and an edit must carry the row version that the operator saw.

--- /dev/null
+++ b/src/goldcrestwell/codec/table_csv.hpp
@@ -0,0 +1,59 @@
+#ifndef GOLDCRESTWELL_CODEC_TABLE_CSV_HPP
+#define GOLDCRESTWELL_CODEC_TABLE_CSV_HPP
+
+#include "goldcrestwell/codec/csv_fault.hpp"
+#include "goldcrestwell/codec/table_line.hpp"
+#include "goldcrestwell/core/message/row_change.hpp"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief Largest table file in bytes; 9,800 rows of 100 bytes are below 1 MB. */
+inline constexpr std::size_t max_csv_bytes = std::size_t{8} << 20U;
+/** @brief Most faults reported for one file. */
+inline constexpr std::size_t max_csv_faults = 100;
+
+/** @return The table as CSV with a header row. The share is written in percent without a sign. */
+[[nodiscard]] std::string encode(std::span<const table_line> lines);
+
+/** @brief An operator's file. */
+struct table_file {
+    /** @brief One change a row; a row with an empty weight is to be removed. */
+    std::vector<row_change> rows;
+    /** @brief The file has the column `row_version`. */
+    bool has_row_versions{};
+};
+
+/** @brief Decodes an operator's CSV file. */
+class csv_decoder {
+public:
+    /** @return The file's rows, or nothing if it has any fault; then they are in `faults`. */
+    [[nodiscard]] std::optional<table_file> decode(std::string_view text);
+
+    /** @return The faults of the last file, at most `max_csv_faults`. */
+    [[nodiscard]] const std::vector<csv_fault>& faults() const noexcept { return faults_; }
+
+    /** @return The reason of the first fault, `none` after a success. */
+    [[nodiscard]] csv_reason last_reason() const noexcept {
+        return faults_.empty() ? csv_reason::none : faults_.front().reason;
+    }
+
+private:
+    std::vector<csv_fault> faults_;
+};
+
+/**
+ * @brief Compares an operator's file with the table.
+ * @return The rows that differ, each with the row version that the operator saw. In a file without row versions that
+ * is the current one. Rows that the file does not mention stay as they are.
+ */
+[[nodiscard]] std::vector<row_change> changed_rows(std::span<const table_line> current, const table_file& file);
+
+} // namespace goldcrestwell
+
+#endif
