Add the follower of the log

Cause: 9,800 nodes cannot all read the log, and each must go on when the log, a relay or a peer is away. Conclusion: all decisions are local; the position only moves in the reducer.

--- a/src/goldcrestwell/core/config/config_follower.hpp
+++ b/src/goldcrestwell/core/config/config_follower.hpp
@@ -1,11 +1,22 @@
 #ifndef GOLDCRESTWELL_CORE_CONFIG_CONFIG_FOLLOWER_HPP
 #define GOLDCRESTWELL_CORE_CONFIG_CONFIG_FOLLOWER_HPP
 
+#include "goldcrestwell/core/common/drop_reason.hpp"
 #include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/config/checkpoint_collector.hpp"
+#include "goldcrestwell/core/config/checkpoint_schedule.hpp"
 #include "goldcrestwell/core/config/config_follower_options.hpp"
+#include "goldcrestwell/core/config/log_scan.hpp"
+#include "goldcrestwell/core/config/peer_positions.hpp"
+#include "goldcrestwell/core/config/read_schedule.hpp"
+#include "goldcrestwell/core/config/record_window.hpp"
 #include "goldcrestwell/core/config/table_reducer.hpp"
+#include "goldcrestwell/core/config/token_bucket.hpp"
 
+#include <chrono>
 #include <optional>
+#include <random>
+#include <vector>
 
 namespace goldcrestwell {
 
@@ -33,8 +44,51 @@
     [[nodiscard]] const table_reducer& reducer() const noexcept { return reducer_; }
 
 private:
+    // Applying.
+    void apply(const record_batch& batch, steady_time now);
+    void apply_record(const sequenced_record& record, steady_time now);
+    void restore(const std::vector<checkpoint_part>& parts);
+    void collect_transfer(node_id from, const record_batch& batch, steady_time now);
+    void announce_changes();
+
+    // Helping peers.
+    void pass_on(log_offset before);
+    void send_records(node_id to, record_batch batch);
+    void send_state(node_id to, steady_time now);
+
+    // Catching up.
+    void after_event(log_offset before, bool pull_answered, steady_time now);
+    void catch_up(bool progress, bool pull_answered, steady_time now);
+    void update_ready();
+    void want_own_read(steady_time now);
+    [[nodiscard]] bool enough_peers_heard() const;
+
+    // Timers.
+    void check_role(steady_time now);
+    void pull_if_due(steady_time now);
+    void read_if_due(steady_time now);
+    void write_checkpoint_if_due(steady_time now);
+
+    void count(drop_reason reason);
+    [[nodiscard]] std::chrono::milliseconds jitter(std::chrono::milliseconds longest);
+
     config_follower_options options_;
+    std::mt19937_64 random_;
     table_reducer reducer_;
+    internal::record_window window_;
+    internal::peer_positions peers_;
+    internal::read_schedule reads_;
+    internal::log_scan scan_;
+    internal::checkpoint_schedule checkpoints_;
+    internal::checkpoint_collector transfer_;
+    internal::token_bucket transfers_;
+    std::shared_ptr<const table_snapshot> announced_;
+    std::vector<edit_verdict> new_verdicts_;
+    std::optional<steady_time> role_check_at_;
+    std::optional<steady_time> pull_at_;
+    node_id asked_;
+    log_offset head_;
+    log_offset first_retained_;
     bool ready_{};
 };
 
--- a/src/goldcrestwell/core/config/table_reducer.hpp
+++ b/src/goldcrestwell/core/config/table_reducer.hpp
@@ -14,6 +14,7 @@
 #include "goldcrestwell/core/message/sequenced_record.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
@@ -50,6 +51,8 @@
     [[nodiscard]] log_offset position() const noexcept { return position_; }
     /** @return Decision on an edit, or nothing if it was not read or is older than the verdicts kept. */
     [[nodiscard]] std::optional<edit_verdict> verdict(const edit_id& id) const;
+    /** @return Decisions kept, in order of their offsets. */
+    [[nodiscard]] const std::deque<edit_verdict>& verdicts() const noexcept { return verdicts_.verdicts(); }
     /** @return Hash of the state and the position. */
     [[nodiscard]] std::uint64_t digest() const;
     /** @return The state as records for the log. */
--- /dev/null
+++ b/src/goldcrestwell/core/config/token_bucket.hpp
@@ -0,0 +1,37 @@
+#ifndef GOLDCRESTWELL_CORE_CONFIG_TOKEN_BUCKET_HPP
+#define GOLDCRESTWELL_CORE_CONFIG_TOKEN_BUCKET_HPP
+
+#include "goldcrestwell/core/common/time.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace goldcrestwell::internal {
+
+/** @brief Allows one event per interval, and a number of events at once after a rest. */
+class token_bucket {
+public:
+    token_bucket(const std::chrono::milliseconds interval, const int burst)
+        : interval_{interval}, slack_{interval * (burst - 1)} {}
+
+    /** @return True if the event is allowed now; it then counts. */
+    [[nodiscard]] bool take(const steady_time now) noexcept {
+        if (now < available_at()) {
+            return false;
+        }
+        full_at_ = std::max(full_at_, now) + interval_;
+        return true;
+    }
+
+    /** @return Time from which the next event is allowed. */
+    [[nodiscard]] steady_time available_at() const noexcept { return full_at_ - slack_; }
+
+private:
+    std::chrono::milliseconds interval_;
+    std::chrono::milliseconds slack_;
+    steady_time full_at_{};
+};
+
+} // namespace goldcrestwell::internal
+
+#endif
