--- a/src/goldcrestwell/core/routing/share_picker.cpp
+++ b/src/goldcrestwell/core/routing/share_picker.cpp
@@ -30,26 +30,29 @@
     }
 }
 
+share_picker::account* share_picker::largest(const usable_hook& usable) {
+    account* found = nullptr;
+    for (auto& item : accounts_) {
+        item.usable = item.share > 0 && usable(item.version);
+        if (item.usable && item.share >= fallback_share && (found == nullptr || item.share > found->share)) {
+            found = &item;
+        }
+    }
+    return found;
+}
+
 std::optional<upstream_version> share_picker::choose(const usable_hook& usable) {
+    auto* const rest = largest(usable);
     account* due = nullptr;
-    account* largest = nullptr;
     for (auto& item : accounts_) {
-        if (item.share == 0) {
-            continue;
-        }
-        if (!usable(item.version)) {
+        if (!item.usable) {
             // Calls that a version missed while it was unusable are not made up for in a burst.
             item.credit = std::min(item.credit, whole_call);
-            continue;
-        }
-        if (item.credit >= whole_call && (due == nullptr || item.credit > due->credit)) {
+        } else if (&item != rest && item.credit >= whole_call && (due == nullptr || item.credit > due->credit)) {
             due = &item;
         }
-        if (item.share >= fallback_share && (largest == nullptr || item.share > largest->share)) {
-            largest = &item;
-        }
     }
-    auto* chosen = due != nullptr ? due : largest;
+    auto* const chosen = due != nullptr ? due : rest;
     if (chosen == nullptr) {
         return std::nullopt;
     }
--- a/src/goldcrestwell/core/routing/share_picker.hpp
+++ b/src/goldcrestwell/core/routing/share_picker.hpp
@@ -44,9 +44,12 @@
         std::int64_t share{};
         /** @brief Calls owed to the version, in millionths. */
         std::int64_t credit{};
+        bool usable{};
     };
 
     void follow(const std::vector<version_share>& shares);
+    /** @return The usable version with the largest share, if it is large enough to take over calls. */
+    [[nodiscard]] account* largest(const usable_hook& usable);
     [[nodiscard]] std::optional<upstream_version> choose(const usable_hook& usable);
 
     std::vector<account> accounts_;
--- a/src/goldcrestwell/core/routing/upstream_selector.cpp
+++ b/src/goldcrestwell/core/routing/upstream_selector.cpp
@@ -11,6 +11,7 @@
 // Bounds the search when the draws fail; small groups are searched completely.
 constexpr std::size_t most_probes = 64;
 constexpr std::uint32_t default_slots = 10;
+// Below a tenth a service with few calls would never warm up a new upstream.
 constexpr double smallest_start = 0.1;
 // Calls to the own data centre go elsewhere when its upstreams have no free slot.
 constexpr double spill_over_score = 1.0;
@@ -51,10 +52,16 @@
             load += std::min(state.reported, slots * reported_slots_limit);
         }
     }
-    const std::chrono::duration<double> age = wanted.now - candidate.since;
+    return load / slots;
+}
+
+bool upstream_selector::warm_enough(const upstream_candidate& candidate, const steady_time now) {
+    const auto age = now - candidate.since;
+    if (age >= options_.slow_start) {
+        return true;
+    }
     const std::chrono::duration<double> ramp = options_.slow_start;
-    const auto part = ramp.count() > 0 ? std::clamp(age / ramp, smallest_start, 1.0) : 1.0;
-    return load / (slots * part);
+    return std::bernoulli_distribution{std::clamp(age / ramp, smallest_start, 1.0)}(random_);
 }
 
 const upstream_candidate* upstream_selector::sample(const std::span<const upstream_candidate> group,
@@ -65,7 +72,7 @@
     std::uniform_int_distribution<size_type> draw{0, group.size() - 1};
     for (size_type i = 0; i < random_draws; ++i) {
         const auto& candidate = group[draw(random_)];
-        if (&candidate != other && allowed(candidate, wanted)) {
+        if (&candidate != other && allowed(candidate, wanted) && warm_enough(candidate, wanted.now)) {
             return &candidate;
         }
     }
@@ -99,7 +106,6 @@
     const auto border = std::ranges::partition_point(candidates, &upstream_candidate::local);
     const auto locals = static_cast<size_type>(border - candidates.begin());
     const auto near = best_of_two(candidates.first(locals), wanted);
-    // A score up to the load of one call means an idle upstream, which may have few slots or be starting.
     if (near.candidate != nullptr && near.score <= spill_over_score) {
         return near.candidate;
     }
--- a/src/goldcrestwell/core/routing/upstream_selector.hpp
+++ b/src/goldcrestwell/core/routing/upstream_selector.hpp
@@ -75,6 +75,8 @@
 
     [[nodiscard]] bool allowed(const upstream_candidate& candidate, const query& wanted) const;
     [[nodiscard]] double score(const upstream_candidate& candidate, const query& wanted) const;
+    /** @return False for a part of the draws of a new upstream, so that its calls grow in proportion to its age. */
+    [[nodiscard]] bool warm_enough(const upstream_candidate& candidate, steady_time now);
     [[nodiscard]] const upstream_candidate* sample(std::span<const upstream_candidate> group, const query& wanted,
                                                    const upstream_candidate* other);
     [[nodiscard]] choice best_of_two(std::span<const upstream_candidate> group, const query& wanted);
