Leave room for the spread of service times in the queue's deadline check

Change: the ledger also averages the deviation and asks for the mean plus two deviations of time left; bench/call_overload.cpp and bench/call_cost.cpp.

--- /dev/null
+++ b/bench/call_cost.cpp
@@ -0,0 +1,151 @@
+#include "goldcrestwell/core/call/attempt_ledger.hpp"
+#include "goldcrestwell/core/call/call_dispatcher.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <deque>
+#include <iomanip>
+#include <iostream>
+#include <vector>
+
+// Core cost of a call at the dispatcher and at the ledger, by calls in progress and by candidates.
+
+using namespace goldcrestwell;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t measured_calls = 100'000;
+const node_id self{1};
+const service_name service{"s"};
+const upstream_version version{"v"};
+
+call_request request() {
+    return {.method = "GET", .target = "/orders/1", .headers = {}, .body = std::string(100, 'x'), .timeout = 30'000ms};
+}
+
+time_sample at(const std::size_t call) {
+    // 80 calls a second, the average of a node at design size.
+    return {.steady = steady_time{1'000s} + call * 12'500us, .wall = {}};
+}
+
+double microseconds_per_call(const std::chrono::steady_clock::duration taken) {
+    return std::chrono::duration<double, std::micro>{taken}.count() / measured_calls;
+}
+
+double dispatcher_cost(const std::size_t in_progress, const std::size_t candidate_count) {
+    std::vector<upstream_candidate> candidates;
+    for (std::size_t i = 0; i < candidate_count; ++i) {
+        candidates.push_back({.node = node_id{i + 2}, .slots = 10, .local = i < candidate_count / 4, .since = {}});
+    }
+    const std::vector<version_share> shares{{.version = version, .share = full_share}};
+    std::deque<std::pair<node_id, attempt_id>> sent;
+    counters counts;
+    invariant_monitor invariants;
+    call_dispatcher_options options{.self = self, .life = incarnation{1}};
+    options.max_calls = 100'000;
+    // The deadline must not pass while a call waits for its turn among 10,000 others.
+    options.longest_timeout = 1'000'000ms;
+    options.find_route = [](std::string_view) {
+        return route_view{.route = {"/orders"}, .service = service};
+    };
+    options.terms = [](const row_key&) {
+        return row_terms{};
+    };
+    options.shares = [&shares](const route_name&) {
+        return shares;
+    };
+    options.candidates = [&candidates](const service_name&, const upstream_version&) {
+        return std::span{candidates};
+    };
+    options.life_of = [](node_id) {
+        return incarnation{1};
+    };
+    options.send = [&sent](const node_id to, const peer_message& message) {
+        if (const auto* attempt = std::get_if<attempt_request>(&message)) {
+            sent.emplace_back(to, attempt->id);
+        }
+    };
+    options.replace_connection = [](node_id) {
+    };
+    options.reply = [](call_id, const call_result&) {
+    };
+    options.counts = &counts;
+    options.invariants = &invariants;
+    call_dispatcher dispatcher{std::move(options)};
+    auto long_request = request();
+    long_request.timeout = 1'000'000ms;
+    for (std::size_t i = 0; i + 1 < in_progress; ++i) {
+        dispatcher.start(long_request, at(0));
+    }
+    const http_answer answer{.status = 200, .headers = {}, .body = std::string(100, 'y')};
+    const auto before = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < measured_calls; ++i) {
+        const auto now = time_sample{.steady = at(0).steady + std::chrono::microseconds{i}, .wall = {}};
+        dispatcher.start(long_request, now);
+        const auto [to, id] = sent.front();
+        sent.pop_front();
+        dispatcher.on_reply(to, {.id = id, .result = answer, .load = 1}, now);
+        dispatcher.on_timer(now);
+    }
+    return microseconds_per_call(std::chrono::steady_clock::now() - before);
+}
+
+double ledger_cost(const std::size_t in_progress) {
+    std::deque<attempt_id> running;
+    counters counts;
+    invariant_monitor invariants;
+    attempt_ledger_options options{.self = self, .life = incarnation{1}};
+    options.max_queue = 100'000;
+    options.send = [](node_id, const peer_message&) {
+    };
+    options.start_upstream = [&running](const attempt_id& id, const call_request&, std::chrono::milliseconds) {
+        running.push_back(id);
+    };
+    options.abort_upstream = [](const attempt_id&) {
+    };
+    options.observe = [](const call_observation&) {
+    };
+    options.counts = &counts;
+    options.invariants = &invariants;
+    options.deadline_aware = false;
+    attempt_ledger ledger{std::move(options)};
+    ledger.set_upstream(upstream_info{.service = service, .version = version, .slots = 10, .connections = 130}, at(0));
+    attempt_request attempt{
+        .target_life = incarnation{1}, .route = {"/orders"}, .service = service, .version = version, .call = request()};
+    attempt.call.timeout = std::chrono::milliseconds{2'000'000'000};
+    std::uint64_t sequence = 0;
+    const auto send_next = [&](const time_sample now) {
+        attempt.id = {.origin = node_id{2 + sequence % 50}, .life = incarnation{1}, .sequence = ++sequence};
+        ledger.on_request(attempt.id.origin, attempt, now);
+    };
+    for (std::size_t i = 0; i + 1 < in_progress; ++i) {
+        send_next(at(0));
+    }
+    const upstream_result result{.outcome = upstream_outcome::answered,
+                                 .answer = {.status = 200, .headers = {}, .body = std::string(100, 'y')}};
+    const auto before = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < measured_calls; ++i) {
+        send_next(at(i));
+        const auto id = running.front();
+        running.pop_front();
+        ledger.on_upstream_result(id, result, at(i));
+        ledger.on_timer(at(i));
+    }
+    return microseconds_per_call(std::chrono::steady_clock::now() - before);
+}
+
+} // namespace
+
+int main() {
+    std::cout << std::fixed << std::setprecision(2) << "calls_in_progress,dispatcher_us,ledger_us\n";
+    for (const std::size_t calls : {1, 10, 100, 1'000, 10'000}) {
+        std::cout << calls << ',' << dispatcher_cost(calls, 100) << ',' << ledger_cost(calls) << '\n';
+    }
+    std::cout << "candidates,dispatcher_us\n";
+    for (const std::size_t candidates : {10, 100, 1'000, 10'000}) {
+        std::cout << candidates << ',' << dispatcher_cost(10, candidates) << '\n';
+    }
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/bench/call_overload.cpp
@@ -0,0 +1,141 @@
+#include "goldcrestwell/core/call/attempt_ledger.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <cstdlib>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <random>
+
+// Useful answers per second at several loads, in virtual time, with and without the deadline-aware queue. An answer is
+// useful if it comes before its caller's deadline. The upstream does not stop when a deadline passes.
+
+using namespace goldcrestwell;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t slots = 10;
+constexpr auto mean_service = 20ms;
+constexpr auto run_time = 60s;
+
+struct outcome {
+    double useful_per_second{};
+    double refused_at_once_per_second{};
+    double wasted_per_second{};
+};
+
+class experiment {
+public:
+    experiment(const double load, const std::chrono::milliseconds timeout, const bool deadline_aware,
+               const std::uint64_t seed)
+        : random_{seed}, timeout_{timeout}, ledger_{options(deadline_aware)} {
+        const double capacity = slots / std::chrono::duration<double>{mean_service}.count();
+        between_ = std::exponential_distribution<double>{load * capacity};
+        ledger_.set_upstream(upstream_info{.service = {"s"}, .version = {"v"}, .slots = slots, .connections = 130},
+                             sample());
+    }
+
+    outcome run() {
+        const auto end = now_ + run_time;
+        auto arrival = now_;
+        while (now_ < end) {
+            const auto timer = ledger_.next_timer().value_or(steady_time::max());
+            const auto finish = finishing_.empty() ? steady_time::max() : finishing_.begin()->first;
+            now_ = std::min({arrival, timer, finish});
+            if (now_ == finish) {
+                end_call();
+            } else if (now_ == timer) {
+                ledger_.on_timer(sample());
+            } else {
+                start_call();
+                arrival += std::chrono::duration_cast<std::chrono::microseconds>(
+                    std::chrono::duration<double>{between_(random_)});
+            }
+        }
+        const auto seconds = std::chrono::duration<double>{run_time}.count();
+        return {.useful_per_second = static_cast<double>(useful_) / seconds,
+                .refused_at_once_per_second = static_cast<double>(refused_at_once_) / seconds,
+                .wasted_per_second = static_cast<double>(wasted_) / seconds};
+    }
+
+private:
+    attempt_ledger_options options(const bool deadline_aware) {
+        attempt_ledger_options made{.self = node_id{1}, .life = incarnation{1}};
+        made.deadline_aware = deadline_aware;
+        made.counts = &counts_;
+        made.invariants = &invariants_;
+        made.abort_upstream = [](const attempt_id&) {
+        };
+        made.start_upstream = [this](const attempt_id& id, const call_request&, std::chrono::milliseconds) {
+            // Between half and one and a half of the mean.
+            const auto taken = std::uniform_int_distribution<int>{10'000, 30'000}(random_);
+            finishing_.emplace(now_ + std::chrono::microseconds{taken}, id);
+        };
+        made.send = [this](node_id, const peer_message& message) {
+            const auto& reply = std::get<attempt_reply>(message);
+            const auto deadline = deadlines_.extract(reply.id.sequence).mapped();
+            if (std::holds_alternative<http_answer>(reply.result)) {
+                ++(now_ <= deadline ? useful_ : wasted_);
+            } else if (deadline == now_ + timeout_) {
+                ++refused_at_once_;
+            }
+        };
+        return made;
+    }
+
+    void start_call() {
+        attempt_request request{.id = {.origin = node_id{2}, .life = incarnation{1}, .sequence = ++sequence_},
+                                .target_life = incarnation{1},
+                                .route = {"/"},
+                                .service = {"s"},
+                                .version = {"v"},
+                                .call = {.method = "POST", .target = "/", .headers = {}, .body = {}}};
+        request.call.timeout = timeout_;
+        deadlines_.emplace(sequence_, now_ + timeout_);
+        ledger_.on_request(node_id{2}, request, sample());
+    }
+
+    void end_call() {
+        const auto id = finishing_.begin()->second;
+        finishing_.erase(finishing_.begin());
+        ledger_.on_upstream_result(
+            id, {.outcome = upstream_outcome::answered, .answer = {.status = 200, .headers = {}, .body = {}}},
+            sample());
+    }
+
+    [[nodiscard]] time_sample sample() const { return {.steady = now_, .wall = {}}; }
+
+    std::mt19937_64 random_;
+    std::chrono::milliseconds timeout_;
+    steady_time now_{1'000s};
+    counters counts_;
+    invariant_monitor invariants_;
+    std::multimap<steady_time, attempt_id> finishing_;
+    std::map<std::uint64_t, steady_time> deadlines_;
+    std::exponential_distribution<double> between_;
+    std::uint64_t sequence_{};
+    std::uint64_t useful_{};
+    std::uint64_t wasted_{};
+    std::uint64_t refused_at_once_{};
+    attempt_ledger ledger_;
+};
+
+} // namespace
+
+int main() {
+    std::cout << std::fixed << std::setprecision(1)
+              << "deadline_ms,load,queue,useful_per_s,refused_at_once_per_s,late_answers_per_s\n";
+    for (const auto timeout : {100ms, 250ms, 1'000ms}) {
+        for (const auto load : {0.5, 1.0, 1.5, 2.0, 4.0}) {
+            for (const auto aware : {false, true}) {
+                const auto measured = experiment{load, timeout, aware, 1}.run();
+                std::cout << timeout.count() << ',' << load << ',' << (aware ? "deadline_aware" : "plain") << ','
+                          << measured.useful_per_second << ',' << measured.refused_at_once_per_second << ','
+                          << measured.wasted_per_second << '\n';
+            }
+        }
+    }
+    return EXIT_SUCCESS;
+}
--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -11,6 +11,8 @@
 
 // Each call moves the average by an eighth: it follows a change within some ten calls and is not moved by one.
 constexpr int service_time_weight = 8;
+// With the mean alone, a tenth of the answers came after a deadline of five service times at twice capacity.
+constexpr int deviations = 2;
 
 row_key row_of(const attempt_request& request) {
     return {.route = request.route, .version = request.version};
@@ -68,6 +70,7 @@
     if (!same) {
         upstream_since_ = now.steady;
         service_time_ = {};
+        service_deviation_ = {};
     }
     upstream_ = std::move(upstream);
     refuse_mismatched(now.steady);
@@ -166,7 +169,7 @@
     }
     const auto turns =
         std::max(static_cast<double>(queue_.size() + 1) / capacity(), static_cast<double>(waiting + 1) / row_slots);
-    const std::chrono::duration<double, std::micro> expected = service_time_ * (turns + 1.0);
+    const std::chrono::duration<double, std::micro> expected = service_time_ * turns + needed_time();
     return expected > request.call.timeout ? refusal_reason::deadline_passed : refusal_reason::none;
 }
 
@@ -189,7 +192,7 @@
         }
         const auto found = active_.find(*id);
         // With nothing running, the call is tried even if it looks too late, so that the estimate can recover.
-        const auto needed = options_.deadline_aware && running_ > 0 ? service_time_ : std::chrono::microseconds{};
+        const auto needed = options_.deadline_aware && running_ > 0 ? needed_time() : std::chrono::microseconds{};
         if (found->second.deadline <= now + needed) {
             refuse_queued(found, refusal_reason::deadline_passed, now);
             continue;
@@ -287,8 +290,16 @@
         return;
     }
     const auto taken = now - item.started;
-    const auto known = service_time_ > std::chrono::microseconds{};
-    service_time_ = known ? service_time_ + (taken - service_time_) / service_time_weight : taken;
+    if (service_time_ == std::chrono::microseconds{}) {
+        service_time_ = taken;
+        return;
+    }
+    service_deviation_ += (std::chrono::abs(taken - service_time_) - service_deviation_) / service_time_weight;
+    service_time_ += (taken - service_time_) / service_time_weight;
+}
+
+std::chrono::microseconds attempt_ledger::needed_time() const {
+    return service_time_ + deviations * service_deviation_;
 }
 
 void attempt_ledger::observe(const entry& item, const upstream_result& result, const steady_time now) {
--- a/src/goldcrestwell/core/call/attempt_ledger.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.hpp
@@ -64,6 +64,8 @@
     void learn_service_time(const entry& item, const upstream_result& result, steady_time now);
     void send_result(const attempt_id& id, const call_result& result);
     void observe(const entry& item, const upstream_result& result, steady_time now);
+    /** @return Time that a call should have left when it starts. */
+    [[nodiscard]] std::chrono::microseconds needed_time() const;
     [[nodiscard]] std::uint32_t capacity() const;
     [[nodiscard]] std::uint32_t row_capacity(const row_limits& limits) const;
 
@@ -76,6 +78,8 @@
     std::set<std::pair<steady_time, attempt_id>> deadlines_;
     /** @brief Recent service time of the upstream, exponentially averaged. */
     std::chrono::microseconds service_time_{};
+    /** @brief Average distance of service times from `service_time_`. */
+    std::chrono::microseconds service_deviation_{};
     size_type running_{};
     bool draining_{};
 };
