Add the command line and the operators' table

Cause: operators need real commands and the daemon needs its settings. Change: node, table, status, check and version with documented exit codes; the table as CSV from the admin listener; edits travel as encoded records, so file, command line and log use one codec; calls are counted once (the facade and the dispatcher both counted: 520 shown for 260 calls).

--- /dev/null
+++ b/src/goldcrestwell/cli/admin_client.cpp
@@ -0,0 +1,49 @@
+#include "goldcrestwell/cli/admin_client.hpp"
+
+#include "goldcrestwell/codec/wire_limits.hpp"
+#include "goldcrestwell/shell/http_connection.hpp"
+#include "goldcrestwell/shell/timer.hpp"
+
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+/** @brief Longer than a node waits for the verdict on an edit. */
+constexpr std::chrono::milliseconds answer_timeout{15'000};
+
+} // namespace
+
+std::optional<http_answer> admin_client::get(const std::string& target) {
+    return request("GET", target, {});
+}
+
+std::optional<http_answer> admin_client::post(const std::string& target, std::string body) {
+    return request("POST", target, std::move(body));
+}
+
+void admin_client::wait(const std::chrono::milliseconds time) {
+    timer alarm{loop_, [this](time_sample) {
+                    loop_.stop();
+                }};
+    alarm.arm_after(time);
+    loop_.run();
+}
+
+std::optional<http_answer> admin_client::request(std::string method, const std::string& target, std::string body) {
+    http_connection connection{loop_, node_, max_log_answer_bytes};
+    std::optional<http_answer> answer;
+    connection.send({.method = std::move(method), .target = target, .body = std::move(body), .timeout = answer_timeout},
+                    [this, &answer](const upstream_result& result) {
+                        outcome_ = result.outcome;
+                        if (result.outcome == upstream_outcome::answered) {
+                            answer = result.answer;
+                        }
+                        loop_.stop();
+                    });
+    loop_.run();
+    return answer;
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/cli/command.hpp
@@ -0,0 +1,21 @@
+#ifndef GOLDCRESTWELL_CLI_COMMAND_HPP
+#define GOLDCRESTWELL_CLI_COMMAND_HPP
+
+#include "goldcrestwell/cli/exit_code.hpp"
+
+#include <span>
+
+namespace goldcrestwell {
+
+/**
+ * @brief Subcommands of the program.
+ * @param arguments The subcommand's name and what follows it.
+ */
+[[nodiscard]] exit_code run_node(std::span<char*> arguments);
+[[nodiscard]] exit_code run_table(std::span<char*> arguments);
+[[nodiscard]] exit_code run_status(std::span<char*> arguments);
+[[nodiscard]] exit_code run_check(std::span<char*> arguments);
+
+} // namespace goldcrestwell
+
+#endif
--- a/src/goldcrestwell/cli/main.cpp
+++ b/src/goldcrestwell/cli/main.cpp
@@ -1,28 +1,60 @@
-#include "goldcrestwell/core/node/node.hpp"
-#include "goldcrestwell/shell/caller_listener.hpp"
-#include "goldcrestwell/shell/signal_watch.hpp"
+#include "goldcrestwell/cli/command.hpp"
 #include "goldcrestwell/shell/version.hpp"
 
-#include <csignal>
-#include <cstdlib>
 #include <iostream>
+#include <string_view>
 
-int main(int argc, char** argv) {
+namespace {
+
+constexpr std::string_view usage = "Usage: goldcrestwell COMMAND [OPTIONS]\n"
+                                   "\n"
+                                   "Commands:\n"
+                                   "  node --settings FILE     run the daemon beside an upstream\n"
+                                   "  table show               print the table in force\n"
+                                   "  table export             print the table without its read-only columns\n"
+                                   "  table apply FILE         apply the changed rows of a CSV file\n"
+                                   "  table watch              print the table at every change\n"
+                                   "  table result ID          print the decision on an edit\n"
+                                   "  status                   print a node's health, members and counters\n"
+                                   "  check FILE               validate a settings file\n"
+                                   "  version                  print the version\n"
+                                   "\n"
+                                   "'goldcrestwell COMMAND --help' lists the options of a command.\n";
+
+goldcrestwell::exit_code dispatch(const std::span<char*> arguments) {
     using namespace goldcrestwell;
-    if (argc != 2) {
+    const std::string_view command{arguments.empty() ? "" : arguments.front()};
+    if (command == "node") {
+        return run_node(arguments);
+    }
+    if (command == "table") {
+        return run_table(arguments);
+    }
+    if (command == "status") {
+        return run_status(arguments);
+    }
+    if (command == "check") {
+        return run_check(arguments);
+    }
+    if (command == "version" || command == "--version") {
         std::cout << "goldcrestwell " << program_version() << '\n';
-        return EXIT_SUCCESS;
+        return exit_code::success;
+    }
+    if (command == "--help" || command == "-h" || command == "help") {
+        std::cout << usage;
+        return exit_code::success;
     }
-    event_loop loop;
-    node core{{.self = node_id{1}}};
-    caller_listener listener{
-        loop, core, {.server = {.port = static_cast<std::uint16_t>(std::strtoul(argv[1], nullptr, 10))}}};
-    if (!listener.start()) {
-        return EXIT_FAILURE;
+    std::cerr << usage;
+    return exit_code::wrong_usage;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        return static_cast<int>(dispatch(std::span{argv, static_cast<std::size_t>(argc)}.subspan(1)));
+    } catch (const std::exception& failure) {
+        std::cerr << "internal error: " << failure.what() << '\n';
+        return static_cast<int>(goldcrestwell::exit_code::internal_error);
     }
-    const signal_watch terminate{loop, SIGTERM, [&loop] {
-                                     loop.stop();
-                                 }};
-    loop.run();
-    return EXIT_SUCCESS;
 }
--- /dev/null
+++ b/src/goldcrestwell/cli/process_options.cpp
@@ -0,0 +1,57 @@
+#include "goldcrestwell/cli/process_options.hpp"
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr double percent = 100.0;
+
+membership_timing to_timing(const membership_settings& settings) {
+    return {.probe_interval = settings.probe_interval,
+            .ack_timeout = settings.probe_timeout,
+            .sync_interval = settings.sync_interval};
+}
+
+node_options to_core_options(const node_settings& settings, const wall_time started, const std::uint64_t seed) {
+    return {.self = settings.self,
+            .life = incarnation{static_cast<std::uint64_t>(started.time_since_epoch().count())},
+            .data_centre = settings.data_centre,
+            .region = settings.region,
+            .seeds = settings.seeds,
+            .seed = seed,
+            .membership = to_timing(settings.membership),
+            .control_bytes_per_second = settings.membership.control_bytes_per_second,
+            .calls = {.default_timeout = settings.calls.default_timeout,
+                      .max_hops = settings.calls.max_hops,
+                      .max_retries = settings.calls.max_retries,
+                      .retries = {.per_call = settings.calls.retry_budget_percent / percent}},
+            .moves = {.schedule = {.default_move_duration = settings.moves.default_duration,
+                                   .minimum_dwell = settings.moves.dwell,
+                                   .maximum_bake = settings.moves.bake_time},
+                      .tick = settings.moves.evidence_interval,
+                      .minimum_samples = settings.moves.min_samples},
+            .log = {.retention = settings.platform_log.retention, .long_poll = settings.platform_log.long_poll},
+            .announcement_expiry = settings.announcement.expiry};
+}
+
+} // namespace
+
+node_process_options to_process_options(const node_settings& settings, const wall_time started,
+                                        const std::uint64_t seed) {
+    const auto& callers = settings.caller_listener;
+    return {.core = to_core_options(settings, started, seed),
+            .callers = {.server = {.address = callers.address,
+                                   .port = callers.port,
+                                   .max_header_bytes = callers.max_header_bytes,
+                                   .max_body_bytes = callers.max_body_bytes,
+                                   .idle_timeout = callers.idle_timeout},
+                        .default_timeout = settings.calls.default_timeout},
+            .admin = {.address = settings.admin_listener.address, .port = settings.admin_listener.port},
+            .log = {.server = to_endpoint(settings.platform_log.address),
+                    .stream = settings.platform_log.stream,
+                    .request_timeout = settings.platform_log.request_timeout},
+            .upstream = {.max_answer_bytes = callers.max_body_bytes},
+            .drain_limit = settings.drain.limit};
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/cli/process_options.hpp
@@ -0,0 +1,22 @@
+#ifndef GOLDCRESTWELL_CLI_PROCESS_OPTIONS_HPP
+#define GOLDCRESTWELL_CLI_PROCESS_OPTIONS_HPP
+
+#include "goldcrestwell/codec/node_settings.hpp"
+#include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/shell/node_process.hpp"
+
+#include <cstdint>
+
+namespace goldcrestwell {
+
+/**
+ * @brief Turns settings into the options of the daemon.
+ * @param started Time of the start; becomes the life of the node.
+ * @param seed Seed of the node's random decisions.
+ */
+[[nodiscard]] node_process_options to_process_options(const node_settings& settings, wall_time started,
+                                                      std::uint64_t seed);
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/cli/settings_file.hpp
@@ -0,0 +1,16 @@
+#ifndef GOLDCRESTWELL_CLI_SETTINGS_FILE_HPP
+#define GOLDCRESTWELL_CLI_SETTINGS_FILE_HPP
+
+#include "goldcrestwell/codec/node_settings.hpp"
+
+#include <optional>
+#include <string>
+
+namespace goldcrestwell {
+
+/** @return The settings of a file, or nothing; then every fault has been printed to the standard error stream. */
+[[nodiscard]] std::optional<node_settings> load_settings(const std::string& path);
+
+} // namespace goldcrestwell
+
+#endif
--- a/src/goldcrestwell/codec/table_csv_encode.cpp
+++ b/src/goldcrestwell/codec/table_csv_encode.cpp
@@ -56,11 +56,6 @@
 
 } // namespace
 
-std::string_view to_string(const table_line_state value) noexcept {
-    const auto index = static_cast<std::size_t>(value);
-    return index < state_names.size() ? state_names[index] : "invalid";
-}
-
 std::string encode(const std::span<const table_line> lines) {
     std::string text;
     append_row(text, internal::table_column_names);
--- a/src/goldcrestwell/codec/table_line.hpp
+++ b/src/goldcrestwell/codec/table_line.hpp
@@ -5,6 +5,7 @@
 #include "goldcrestwell/core/common/share.hpp"
 #include "goldcrestwell/core/message/row_key.hpp"
 #include "goldcrestwell/core/message/row_values.hpp"
+#include "goldcrestwell/core/rollout/row_state.hpp"
 
 #include <cstdint>
 #include <string>
@@ -12,18 +13,12 @@
 
 namespace goldcrestwell {
 
-/** @brief Progress of a row as operators see it. */
-enum class table_line_state : std::uint8_t { pending, moving, done, taken_back, late, rejected };
-
-/** @return The name used in the table. */
-[[nodiscard]] std::string_view to_string(table_line_state value) noexcept;
-
 /** @brief One line of the operators' table. */
 struct table_line {
     row_key key;
     log_offset row_version;
     row_values values;
-    table_line_state state{table_line_state::pending};
+    row_state state{row_state::pending};
     /** @brief Share in force. */
     goldcrestwell::share share;
     /** @brief Name of the reason for the state; empty if there is none. */
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -22,7 +22,6 @@
 
 call_id node::on_call(call_request call, reply_hook reply_to, const time_sample now) {
     now_ = now;
-    ++counts_.calls;
     if (drain_started_) {
         refuse(reply_to, refusal_reason::draining);
         return call_id{};
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -113,6 +113,7 @@
 }
 
 void node::refuse(const reply_hook& hook, const refusal_reason reason) {
+    ++counts_.calls;
     counts_.refusals.add(reason);
     hook(call_refusal{.reason = reason, .state = run_state::not_run});
 }
--- a/src/goldcrestwell/shell/admin_listener.cpp
+++ b/src/goldcrestwell/shell/admin_listener.cpp
@@ -2,10 +2,12 @@
 
 #include "goldcrestwell/codec/announcement.hpp"
 #include "goldcrestwell/codec/record_codec.hpp"
+#include "goldcrestwell/codec/table_csv.hpp"
 #include "goldcrestwell/core/node/node.hpp"
 #include "goldcrestwell/shell/metrics_text.hpp"
 #include "goldcrestwell/shell/process_usage.hpp"
 #include "goldcrestwell/shell/status_json.hpp"
+#include "goldcrestwell/shell/table_view.hpp"
 
 #include <utility>
 
@@ -102,7 +104,7 @@
 }
 
 void admin_listener::show_table(const exchange_pointer& exchange) const {
-    exchange->reply(text_answer(status_not_found, "not found"));
+    exchange->reply(answer(status_ok, "text/csv; charset=utf-8", encode(table_lines(core_, loop_.now().wall))));
 }
 
 void admin_listener::apply_edit(const exchange_pointer& exchange) {
--- a/src/goldcrestwell/shell/structured_log.hpp
+++ b/src/goldcrestwell/shell/structured_log.hpp
@@ -1,18 +1,15 @@
 #ifndef GOLDCRESTWELL_SHELL_STRUCTURED_LOG_HPP
 #define GOLDCRESTWELL_SHELL_STRUCTURED_LOG_HPP
 
+#include "goldcrestwell/codec/node_settings.hpp"
 #include "goldcrestwell/shell/log_field.hpp"
 
-#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
 
 namespace goldcrestwell {
 
-/** @brief Lines below the chosen level are not written. */
-enum class log_level : std::uint8_t { debug, info, warning, error };
-
 /** @brief Where log lines go. */
 struct log_options {
     log_level level{log_level::info};
--- /dev/null
+++ b/src/goldcrestwell/shell/table_view.hpp
@@ -0,0 +1,17 @@
+#ifndef GOLDCRESTWELL_SHELL_TABLE_VIEW_HPP
+#define GOLDCRESTWELL_SHELL_TABLE_VIEW_HPP
+
+#include "goldcrestwell/codec/table_line.hpp"
+#include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/node/fwd.hpp"
+
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @return The operators' table as this node sees it. */
+[[nodiscard]] std::vector<table_line> table_lines(const node& core, wall_time now);
+
+} // namespace goldcrestwell
+
+#endif
--- a/test/codec/table_csv.cpp
+++ b/test/codec/table_csv.cpp
@@ -25,7 +25,7 @@
                                   .timeout = std::chrono::milliseconds{2000}},
                        .idempotent = false,
                        .on_thin_evidence = thin_evidence_policy::hold},
-            .state = table_line_state::moving,
+            .state = row_state::moving,
             .share = share{125'000},
             .reason = ""};
 }
