--- a/src/goldcrestwell/codec/wire_writer.hpp
+++ b/src/goldcrestwell/codec/wire_writer.hpp
@@ -38,8 +38,16 @@
 
 private:
     struct byte_buffer {
+        static constexpr std::size_t spare_bytes = 256;
         std::string bytes;
-        void write(const char* data, const std::size_t size) { bytes.append(data, size); }
+        // A large body takes the string's exact size; without room for the fields behind it the next byte would copy
+        // it all again.
+        void write(const char* data, const std::size_t size) {
+            if (size > spare_bytes && bytes.capacity() - bytes.size() < size) {
+                bytes.reserve(bytes.size() + size + spare_bytes);
+            }
+            bytes.append(data, size);
+        }
     };
 
     void write(const bool value) { value ? packer_.pack_true() : packer_.pack_false(); }
