--- a/src/goldcrestwell/core/config/config_follower_options.hpp
+++ b/src/goldcrestwell/core/config/config_follower_options.hpp
@@ -39,7 +39,7 @@
     /** @brief Wait for the push before a node that is behind pulls, so that it does not ask for what is on its way. */
     std::chrono::milliseconds pull_grace{150};
     /** @brief Time after which an unanswered pull is sent to another peer. */
-    std::chrono::milliseconds pull_timeout{std::chrono::seconds{1}};
+    std::chrono::milliseconds pull_timeout{500};
     /** @brief Time for which a node may be behind its peers before it reads the log itself. */
     std::chrono::milliseconds own_read_after{std::chrono::seconds{3}};
     /** @brief Longest random addition to the start of an own read. */
--- a/test/core/config/fleet.cpp
+++ b/test/core/config/fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <utility>
+#include <variant>
 
 namespace goldcrestwell::test {
 
@@ -68,6 +69,9 @@
         for (const auto& record : batch.records) {
             ++nodes_[index].pushes[record.offset.value()];
         }
+        if (chance(faults.batches_lost)) {
+            return;
+        }
         send(index, to, [this, self, batch](config_follower& other) {
             other.on_peer_batch(self, batch, {.steady = now_, .wall = {}});
         });
@@ -176,6 +180,8 @@
     if (faults.log_down) {
         return false;
     }
+    const auto* part = std::get_if<checkpoint_part>(&record);
+    checkpoints += part != nullptr && part->index == 0 ? 1 : 0;
     reference_.apply(log_.append(record, now_));
     history_.insert_or_assign(reference_.position(), reference_.snapshot());
     return true;
--- a/test/core/config/fleet.hpp
+++ b/test/core/config/fleet.hpp
@@ -21,6 +21,8 @@
 /** @brief Faults of the network and the log while a history runs. */
 struct fault_settings {
     double lost{};
+    /** @brief Batches lost beyond that: pushes, and answers to pulls. */
+    double batches_lost{};
     double duplicated{};
     double delayed{};
     bool log_down{};
@@ -55,6 +57,7 @@
     invariant_monitor monitor{failing_monitor()};
     std::size_t state_transfers{};
     std::size_t log_reads{};
+    std::size_t checkpoints{};
 
 private:
     struct host {
--- a/test/core/config/random_history.cpp
+++ b/test/core/config/random_history.cpp
@@ -38,7 +38,7 @@
     explicit history(const std::uint64_t seed) : nodes_{seed, 2, 5} {}
 
     void run() {
-        nodes_.faults = {.lost = 0.1, .duplicated = 0.1, .delayed = 0.1};
+        nodes_.faults = {.lost = 0.1, .batches_lost = 0.1, .duplicated = 0.1, .delayed = 0.1};
         nodes_.run_for(milliseconds{3000});
         for (int step = 0; step < 60; ++step) {
             fault();
