--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -144,9 +144,6 @@
     if (archive_.size() + active_.size() >= options_.max_ids) {
         return refusal_reason::queue_full;
     }
-    if (capacity() == 0) {
-        return refusal_reason::connection_limit;
-    }
     if (options_.refuses && options_.refuses(row_of(request))) {
         return refusal_reason::upstream_failing;
     }
@@ -224,20 +221,27 @@
         options_.counts->drops.add(drop_reason::unknown_sender);
         return;
     }
-    auto progress = attempt_progress::lost;
+    const auto send_status = [this, from, &id](const attempt_progress progress) {
+        options_.send(from, attempt_status{.id = id, .progress = progress});
+    };
     if (query.target_life != options_.life) {
-        progress = attempt_progress::lost;
-    } else if (const auto found = active_.find(id); found != active_.end()) {
-        progress = found->second.running ? attempt_progress::running : attempt_progress::queued;
-    } else if (const auto* ended = archive_.find(id)) {
+        // Only the earlier process knew what it had sent to the upstream.
+        send_status(attempt_progress::lost);
+        return;
+    }
+    if (const auto found = active_.find(id); found != active_.end()) {
+        send_status(found->second.running ? attempt_progress::running : attempt_progress::queued);
+        return;
+    }
+    if (const auto* ended = archive_.find(id)) {
         repeat(id, *ended);
         return;
-    } else if (!archive_.may_be_forgotten(id)) {
-        progress = attempt_progress::never_seen;
-        refuse_new(id, refusal_reason::never_seen_before, now.steady);
+    }
+    if (archive_.may_be_forgotten(id)) {
+        send_status(attempt_progress::lost);
         return;
     }
-    options_.send(from, attempt_status{.id = id, .progress = progress});
+    refuse_new(id, refusal_reason::never_seen_before, now.steady);
 }
 
 void attempt_ledger::on_cancel(const node_id from, const attempt_cancel& cancel, const time_sample now) {
--- a/src/goldcrestwell/core/call/attempt_ledger_options.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger_options.hpp
@@ -28,7 +28,7 @@
     /** @brief Time for which an answer is kept for a caller that has to ask for it. */
     std::chrono::seconds keep_answers{5};
     /** @brief Bytes of answer bodies kept at most; the oldest answers go first. */
-    std::size_t max_answer_bytes{32U * 1024U * 1024U};
+    std::size_t max_answer_bytes{std::size_t{32} * 1024 * 1024};
     /** @brief Calls waiting at most, if the row sets no limit. */
     std::size_t max_queue{2'000};
     /** @brief Reject calls that can not be finished in time as soon as this is known. */
