--- a/src/goldcrestwell/core/rollout/rollout_engine.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 // Chosen with bench/rollout_verdicts; docs/rollout.md has the figures.
-constexpr double default_alpha = 0.001;
+constexpr double default_alpha = 0.01;
 
 bool is_finished(const move_state& state) noexcept {
     return state.done || state.taken_back;
