Add tests and a measurement of membership

Cause: nothing showed that tables agree after faults. Change: tests of the parts, a random-history test in virtual time, and bench/membership_spread; backlogs are pushed, repeated facts count as sent, answers of an exchange consist of whole data centres.

--- a/src/goldcrestwell/core/membership/anti_entropy.cpp
+++ b/src/goldcrestwell/core/membership/anti_entropy.cpp
@@ -16,14 +16,19 @@
 constexpr std::size_t part_moves = 12;
 /** Below this size one exchange over all records is cheaper than one for each slice. */
 constexpr std::size_t slice_threshold = 512;
-/** One slice of the design size; an unlimited answer to an empty table would take this node four minutes. */
-constexpr std::size_t answer_limit = 640;
-/** Answers in progress; further requests are dropped and asked again by the peer. */
-constexpr std::size_t answers_limit = 32;
+/**
+ * Records after which an answer takes no further data centre: about 1.5 s of the budget. Whole data centres are sent,
+ * because a complete one drops out of the next comparison. Longer answers would be out of date before they are sent.
+ */
+constexpr std::size_t enough_members = 96;
+/** Answers in progress; further requests are dropped, and the peer asks another node. */
+constexpr std::size_t answers_limit = 8;
 /** Moves in an answer: half the newest, half at random, because new differences are likely to be new moves. */
 constexpr std::size_t moves_half = 32;
-/** Wait after news, in catch-up intervals; a shorter one asks again before the parts of an answer have arrived. */
-constexpr int news_factor = 4;
+/** With this many new records in a part of an answer, more are likely to be missing. */
+constexpr std::size_t much_news = 4;
+/** Wait after little news, in catch-up intervals. */
+constexpr int little_news_factor = 8;
 
 } // namespace
 
@@ -36,12 +41,8 @@
     next_ = now + jittered(options_.timing.catch_up_interval);
 }
 
-void anti_entropy::on_news(const steady_time now) {
-    if (sliced() && !was_sliced_) {
-        was_sliced_ = true;
-        slices_left_ = digest_slice_count;
-    }
-    const auto factor = slices_left_ > 0 ? 1 : news_factor;
+void anti_entropy::on_news(const size_type records, const steady_time now) {
+    const auto factor = records >= much_news ? 1 : little_news_factor;
     const auto soon = now + jittered(options_.timing.catch_up_interval * factor);
     if (!next_ || soon < *next_) {
         next_ = soon;
@@ -70,8 +71,7 @@
         next_ = now + jittered(options_.timing.sync_interval);
         return;
     }
-    was_sliced_ = sliced();
-    const auto slice = was_sliced_ ? slice_ + 1 : 0;
+    const auto slice = sliced() ? slice_ + 1 : 0;
     sync_digest digest{
         .data_centres = table_->digests(slice), .moves = moves_digest(options_.moves()), .reply = true, .slice = slice};
     auto bytes = frame_overhead;
@@ -84,7 +84,7 @@
         return;
     }
     slice_ = (slice_ + 1) % digest_slice_count;
-    slices_left_ = was_sliced_ && slices_left_ > 0 ? slices_left_ - 1 : 0;
+    slices_left_ = slice != 0 && slices_left_ > 0 ? slices_left_ - 1 : 0;
     next_ = now + jittered(slices_left_ > 0 ? options_.timing.catch_up_interval : options_.timing.sync_interval);
     ++exchanges_;
     options_.send_digest(*peer, digest);
@@ -94,11 +94,8 @@
     if (!digest.reply || answers_.size() >= answers_limit) {
         return;
     }
-    answer job{.to = from, .ids = table_->differing(digest), .moves = {}};
-    if (job.ids.size() > answer_limit) {
-        std::shuffle(job.ids.begin(), job.ids.end(), random_);
-        job.ids.resize(answer_limit);
-    }
+    const auto only = digest.slice == 0 && sliced() ? slice_ + 1 : digest.slice;
+    answer job{.to = from, .ids = table_->differing(digest, only, random_(), enough_members), .moves = {}};
     if (moves_digest(options_.moves()) != digest.moves) {
         job.moves = choose_moves();
     }
--- a/src/goldcrestwell/core/membership/anti_entropy.hpp
+++ b/src/goldcrestwell/core/membership/anti_entropy.hpp
@@ -47,7 +47,7 @@
     void catch_up(steady_time now);
     void on_digest(node_id from, const sync_digest& digest, steady_time now);
     /** @brief An answer brought news, so that another exchange is likely to bring more. */
-    void on_news(steady_time now);
+    void on_news(size_type records, steady_time now);
 
     void on_timer(steady_time now);
     [[nodiscard]] std::optional<steady_time> next_timer() const;
@@ -79,7 +79,6 @@
     std::deque<answer> answers_;
     std::uint32_t slice_;
     std::uint32_t slices_left_{};
-    bool was_sliced_{};
     std::uint64_t exchanges_{};
 };
 
--- a/src/goldcrestwell/core/membership/dissemination.cpp
+++ b/src/goldcrestwell/core/membership/dissemination.cpp
@@ -52,6 +52,13 @@
     return taken;
 }
 
+void dissemination::count_heard(const fact_key& key, const size_type limit) {
+    const auto known = entries_.find(key);
+    if (known != entries_.end() && !is_urgent(known->second.priority)) {
+        count_sent(key, limit);
+    }
+}
+
 std::optional<control_priority> dissemination::first_priority() const {
     if (order_.empty()) {
         return std::nullopt;
--- a/src/goldcrestwell/core/membership/dissemination.hpp
+++ b/src/goldcrestwell/core/membership/dissemination.hpp
@@ -43,6 +43,13 @@
      */
     [[nodiscard]] std::vector<fact_key> take(size_type room, bool urgent_only, size_type limit);
 
+    /**
+     * @brief Counts a fact that is not urgent as sent once, because another node has sent it here.
+     *
+     * A fact that comes back is known widely, so that it needs fewer transmissions.
+     */
+    void count_heard(const fact_key& key, size_type limit);
+
     /** @return Priority of the fact that is sent next. */
     [[nodiscard]] std::optional<control_priority> first_priority() const;
     [[nodiscard]] bool has_urgent() const;
--- a/src/goldcrestwell/core/membership/member_table.cpp
+++ b/src/goldcrestwell/core/membership/member_table.cpp
@@ -116,20 +116,25 @@
     return result;
 }
 
-std::vector<node_id> member_table::differing(const sync_digest& theirs) const {
+std::vector<node_id> member_table::differing(const sync_digest& theirs, const std::uint32_t only, const size_type first,
+                                             const size_type enough) const {
     std::map<data_centre, std::uint64_t> known;
     for (const auto& entry : theirs.data_centres) {
         known[entry.data_centre] = entry.digest;
     }
     const auto slice = std::min(theirs.slice, digest_slice_count);
-    std::vector<node_id> ids;
+    std::vector<const group*> different;
     for (const auto& [name, place] : groups_) {
         const auto entry = known.find(name);
-        if (place.digests[slice] == (entry == known.end() ? 0 : entry->second)) {
-            continue;
+        if (place.digests[slice] != (entry == known.end() ? 0 : entry->second)) {
+            different.push_back(&place);
         }
+    }
+    std::vector<node_id> ids;
+    for (size_type step = 0; step < different.size() && ids.size() < enough; ++step) {
+        const auto& place = *different[(first + step) % different.size()];
         std::copy_if(place.ids.begin(), place.ids.end(), std::back_inserter(ids),
-                     [slice](const node_id id) { return slice == 0 || digest_slice(id) == slice; });
+                     [only](const node_id id) { return only == 0 || digest_slice(id) == only; });
     }
     return ids;
 }
--- a/src/goldcrestwell/core/membership/member_table.hpp
+++ b/src/goldcrestwell/core/membership/member_table.hpp
@@ -43,8 +43,14 @@
     /** @param slice From 1 to `digest_slice_count`, or zero for all records. */
     [[nodiscard]] std::vector<data_centre_digest> digests(std::uint32_t slice) const;
 
-    /** @return Ids, tombstones included, of the data centres whose digest differs or is missing there. */
-    [[nodiscard]] std::vector<node_id> differing(const sync_digest& theirs) const;
+    /**
+     * @brief Chooses ids, tombstones included, of data centres whose digest differs or is missing there.
+     * @param only Slice that the ids are limited to, or zero.
+     * @param first Data centre to begin with, modulo their number.
+     * @param enough No further data centre is added once this many ids are chosen.
+     */
+    [[nodiscard]] std::vector<node_id> differing(const sync_digest& theirs, std::uint32_t only, size_type first,
+                                                 size_type enough) const;
 
 private:
     struct group {
--- a/src/goldcrestwell/core/membership/membership_facts.cpp
+++ b/src/goldcrestwell/core/membership/membership_facts.cpp
@@ -5,23 +5,30 @@
 
 namespace goldcrestwell::internal {
 
-void membership_state::learn(const member& record, const source from) {
+bool membership_state::learn(const member& record, const source from) {
     if (record.id == self_) {
         hear_about_self(record);
-        return;
+        return false;
     }
     const auto* known = table_.find(record.id);
     // A peer may keep a tombstone for longer; taking it over again would keep it in the system for ever.
     if (known == nullptr && from == source::exchange && is_tombstone(record.status)) {
-        return;
+        return false;
     }
     const auto had_upstream = known != nullptr && known->upstream && known->status == member_status::alive;
-    if (!table_.apply(record, now_) || from == source::exchange) {
-        return;
+    const auto news = table_.apply(record, now_);
+    if (from == source::exchange) {
+        return news;
+    }
+    const auto& newest = *table_.find(record.id);
+    if (!news) {
+        if (newest.incarnation == record.incarnation && newest.status == record.status) {
+            queue_.count_heard(record.id, retransmit_limit());
+        }
+        return false;
     }
-    const auto& now_known = *table_.find(record.id);
-    const auto withdrawn = had_upstream && !now_known.upstream;
-    spread(now_known, now_known.status == member_status::leaving || withdrawn);
+    spread(newest, newest.status == member_status::leaving || (had_upstream && !newest.upstream));
+    return true;
 }
 
 void membership_state::hear_about_self(const member& record) {
--- a/src/goldcrestwell/core/membership/membership_spread.cpp
+++ b/src/goldcrestwell/core/membership/membership_spread.cpp
@@ -18,6 +18,11 @@
 constexpr std::size_t request_count = 3;
 /** Members told to a newcomer, so that its next questions go elsewhere. */
 constexpr std::size_t newcomer_members = 4;
+/**
+ * More waiting facts than fit the ping and the ack of a second; they are pushed as far as the lowest priority would be
+ * paid, so that joining nodes still get their tables.
+ */
+constexpr std::size_t backlog_facts = 16;
 /** Transmissions beyond ln(n): exp(-3) nodes out of all are then expected to miss a fact. */
 constexpr double extra_transmissions = 3.0;
 
@@ -30,6 +35,8 @@
                options_.wire_size(sample) - empty_size_);
     if (urgent) {
         request_push();
+    } else if (!push_due_ && has_backlog()) {
+        push_due_ = now_ + options_.timing.push_interval;
     }
 }
 
@@ -59,6 +66,10 @@
 void membership_state::push() {
     push_due_.reset();
     last_push_ = now_;
+    if (!queue_.has_urgent() && position_rounds_ == 0) {
+        push_backlog();
+        return;
+    }
     const auto priority =
         queue_.has_urgent() ? queue_.first_priority().value_or(control_priority::position) : control_priority::position;
     for (const auto target : peers_.choose(push_fan_out, self_)) {
@@ -67,11 +78,28 @@
         }
     }
     position_rounds_ -= position_rounds_ > 0 ? 1U : 0U;
-    if (!peers_.empty() && (queue_.has_urgent() || position_rounds_ > 0)) {
+    if (!peers_.empty() && (queue_.has_urgent() || position_rounds_ > 0 || has_backlog())) {
         push_due_ = now_ + options_.timing.push_interval;
     }
 }
 
+void membership_state::push_backlog() {
+    for (const auto target : peers_.choose(push_fan_out, self_)) {
+        if (budget_.available(control_priority::anti_entropy, now_) < datagram_limit + datagram_overhead ||
+            !has_backlog()) {
+            break;
+        }
+        (void)send(target, make(datagram_kind::push, 0, {}), control_priority::join, false);
+    }
+    if (!peers_.empty() && has_backlog()) {
+        push_due_ = now_ + options_.timing.push_interval;
+    }
+}
+
+bool membership_state::has_backlog() const {
+    return queue_.size() > backlog_facts;
+}
+
 membership_state::size_type membership_state::retransmit_limit() const {
     return static_cast<size_type>(std::ceil(std::log(static_cast<double>(peers_.size() + 2)) + extra_transmissions));
 }
--- a/src/goldcrestwell/core/membership/membership_state.cpp
+++ b/src/goldcrestwell/core/membership/membership_state.cpp
@@ -193,15 +193,15 @@
 
 void membership_state::on_sync(const node_id /*from*/, const sync_state& state, const time_sample now) {
     enter(now.steady);
-    const auto before = table_.digests(0);
+    size_type news = 0;
     for (const auto& record : state.members) {
-        learn(record, source::exchange);
+        news += learn(record, source::exchange) ? 1U : 0U;
     }
     for (const auto& update : state.moves) {
         receive_move(update);
     }
-    if (table_.digests(0) != before) {
-        sync_.on_news(now_);
+    if (news > 0) {
+        sync_.on_news(news, now_);
     }
 }
 
--- a/src/goldcrestwell/core/membership/membership_state.hpp
+++ b/src/goldcrestwell/core/membership/membership_state.hpp
@@ -65,7 +65,8 @@
     [[nodiscard]] std::chrono::microseconds suspicion_timeout() const;
 
     // Facts about members and moves.
-    void learn(const member& record, source from);
+    /** @return True if the record was news about another node. */
+    bool learn(const member& record, source from);
     void hear_about_self(const member& record);
     void table_changed(const member* before, const member* after);
     void track_peer(const member& record);
@@ -82,6 +83,8 @@
     void request_push();
     void push_if_due();
     void push();
+    void push_backlog();
+    [[nodiscard]] bool has_backlog() const;
     [[nodiscard]] size_type retransmit_limit() const;
     [[nodiscard]] static member compact(const member& record);
 
--- /dev/null
+++ b/test/core/membership/simulated_network.hpp
@@ -0,0 +1,256 @@
+#ifndef GOLDCRESTWELL_TEST_CORE_MEMBERSHIP_SIMULATED_NETWORK_HPP
+#define GOLDCRESTWELL_TEST_CORE_MEMBERSHIP_SIMULATED_NETWORK_HPP
+
+#include "goldcrestwell/core/membership/membership.hpp"
+
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace goldcrestwell::simulated {
+
+/** @brief Approximates the encoded size of a datagram: fixed-size integers and length-prefixed strings. */
+inline std::size_t wire_size(const datagram& message) {
+    std::size_t bytes = 48;
+    for (const auto& record : message.members) {
+        bytes += 34 + record.data_centre.value.size() + record.region.value.size();
+        if (record.upstream) {
+            bytes += 12 + record.upstream->service.value.size() + record.upstream->version.value.size();
+        }
+    }
+    for (const auto& update : message.moves) {
+        bytes += 20 + update.key.row.route.value.size() + update.key.row.version.value.size();
+    }
+    return bytes;
+}
+
+/** @brief Faults of the network between nodes. */
+struct faults {
+    double drop{};
+    double duplicate{};
+    std::chrono::microseconds shortest_delay{500};
+    std::chrono::microseconds longest_delay{5000};
+};
+
+/** @brief One simulated process. */
+struct process {
+    member self;
+    std::unique_ptr<membership> node;
+    std::uint64_t run{};
+    bool paused{};
+    std::uint64_t bytes{};
+    std::size_t largest{};
+    std::optional<steady_time> timer;
+};
+
+/** @brief Membership objects joined by a queue of messages and timers in virtual time. */
+class network {
+public:
+    using millis = std::chrono::milliseconds;
+
+    network(std::size_t count, std::size_t regions, std::size_t seed_count, std::uint64_t seed)
+        : random_{seed}, processes_(count) {
+        for (std::size_t place = 0; place < count; ++place) {
+            auto& self = processes_[place].self;
+            self.id = id(place);
+            self.region.value = "region-" + std::to_string(place % regions);
+            self.data_centre.value = "centre-" + std::to_string(place % (regions * 2));
+            if (place < seed_count) {
+                seeds_.push_back(self.id);
+            }
+        }
+    }
+
+    static node_id id(const std::size_t place) { return node_id{static_cast<std::uint32_t>(place + 1), 7000}; }
+    static std::size_t place(const node_id id) { return id.address() - 1; }
+
+    time_sample now() const {
+        return {.steady = now_, .wall = wall_time{std::chrono::duration_cast<millis>(now_.time_since_epoch())}};
+    }
+
+    /** Starts or restarts a process; a restarted one has a new life and knows nothing. */
+    void start(const std::size_t index, invariant_monitor* invariants = nullptr) {
+        auto& item = processes_[index];
+        ++item.run;
+        item.paused = false;
+        item.timer.reset();
+        const auto life = 1'000'000 + std::chrono::duration_cast<millis>(now_.time_since_epoch()).count();
+        item.self.life = incarnation{static_cast<std::uint64_t>(life)};
+        item.self.incarnation = item.self.life;
+        membership_options options;
+        options.self = item.self;
+        options.seeds = seeds_;
+        options.seed = random_();
+        options.wire_size = wire_size;
+        options.invariants = invariants;
+        options.send_datagram = [this, index](const node_id to, const datagram& message) {
+            const auto size = wire_size(message);
+            processes_[index].bytes += size + 28;
+            processes_[index].largest = std::max(processes_[index].largest, size);
+            transmit(index, place(to), std::make_shared<payload>(message), true);
+        };
+        options.send_frame = [this, index](const node_id to, const peer_message& message) {
+            if (const auto* state = std::get_if<sync_state>(&message)) {
+                datagram same;
+                same.members = state->members;
+                same.moves = state->moves;
+                processes_[index].bytes += wire_size(same) + 60;
+            } else {
+                processes_[index].bytes += 60 + 24 * std::get<sync_digest>(message).data_centres.size();
+            }
+            transmit(index, place(to), std::make_shared<payload>(message), false);
+        };
+        options.member_changed = member_changed ? [this, index](const member& record) {
+            member_changed(index, record);
+        } : std::function<void(const member&)>{};
+        options.move_received = [this, index](const move_update& update) {
+            if (move_received) {
+                move_received(index, update);
+            }
+        };
+        item.node = std::make_unique<membership>(std::move(options));
+        item.node->start(now());
+        schedule(index);
+    }
+
+    void kill(const std::size_t index) {
+        ++processes_[index].run;
+        processes_[index].node.reset();
+    }
+
+    void pause(const std::size_t index) { processes_[index].paused = true; }
+    void resume(const std::size_t index) {
+        processes_[index].paused = false;
+        processes_[index].timer.reset();
+        schedule(index);
+    }
+
+    /** Calls a member function of a running node and arms its timer again. */
+    template <typename Call>
+    void on(const std::size_t index, Call call) {
+        call(*processes_[index].node);
+        schedule(index);
+    }
+
+    void run_for(const std::chrono::microseconds duration) {
+        run_until(now_ + duration, [] { return false; });
+    }
+
+    /** @return False if the condition did not come true until the given time. */
+    template <typename Condition>
+    bool run_until(const steady_time end, Condition done) {
+        while (!done()) {
+            if (events_.empty() || events_.top().time > end) {
+                now_ = end;
+                return false;
+            }
+            auto next = events_.top();
+            events_.pop();
+            now_ = std::max(now_, next.time);
+            deliver(next);
+        }
+        return true;
+    }
+
+    bool running(const std::size_t index) const {
+        return processes_[index].node != nullptr && !processes_[index].paused;
+    }
+    membership& node(const std::size_t index) { return *processes_[index].node; }
+    process& at(const std::size_t index) { return processes_[index]; }
+    std::size_t size() const { return processes_.size(); }
+    std::mt19937_64& random() { return random_; }
+
+    faults network_faults;
+    /** Pairs of regions that cannot reach each other, smaller name first. */
+    std::set<std::pair<region, region>> cuts;
+    std::function<void(std::size_t, const member&)> member_changed;
+    std::function<void(std::size_t, const move_update&)> move_received;
+
+private:
+    using payload = std::variant<datagram, peer_message>;
+    struct event {
+        steady_time time;
+        std::uint64_t sequence{};
+        std::size_t from{};
+        std::size_t to{};
+        std::uint64_t run{};
+        std::shared_ptr<payload> message;
+
+        bool operator<(const event& other) const {
+            return time != other.time ? time > other.time : sequence > other.sequence;
+        }
+    };
+
+    bool chance(const double probability) {
+        return probability > 0 && std::uniform_real_distribution<double>{}(random_) < probability;
+    }
+
+    bool cut(const std::size_t left, const std::size_t right) const {
+        const auto names = std::minmax(processes_[left].self.region, processes_[right].self.region);
+        return cuts.contains({names.first, names.second});
+    }
+
+    void transmit(const std::size_t from, const std::size_t to, const std::shared_ptr<payload>& message,
+                  const bool datagrams) {
+        if (to >= processes_.size() || cut(from, to) || (datagrams && chance(network_faults.drop))) {
+            return;
+        }
+        const auto copies = datagrams && chance(network_faults.duplicate) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            std::uniform_int_distribution<std::int64_t> delay{network_faults.shortest_delay.count(),
+                                                              network_faults.longest_delay.count()};
+            events_.push(
+                {now_ + std::chrono::microseconds{delay(random_)}, ++sequence_, from, to, processes_[to].run, message});
+        }
+    }
+
+    void schedule(const std::size_t index) {
+        auto& item = processes_[index];
+        const auto due = item.node->next_timer();
+        if (due && (!item.timer || *due < *item.timer)) {
+            item.timer = std::max(*due, now_);
+            events_.push({*item.timer, ++sequence_, index, index, item.run, nullptr});
+        }
+    }
+
+    void deliver(const event& next) {
+        auto& item = processes_[next.to];
+        if (item.node == nullptr || next.run != item.run || item.paused) {
+            return;
+        }
+        if (next.message == nullptr) {
+            if (!item.timer || *item.timer != next.time) {
+                return;
+            }
+            item.timer.reset();
+            if (const auto due = item.node->next_timer(); due && *due <= now_) {
+                item.node->on_timer(now());
+            }
+        } else if (const auto* message = std::get_if<datagram>(next.message.get())) {
+            item.node->on_datagram(*message, now());
+        } else {
+            const auto& frame = std::get<peer_message>(*next.message);
+            if (const auto* state = std::get_if<sync_state>(&frame)) {
+                item.node->on_sync(processes_[next.from].self.id, *state, now());
+            } else {
+                item.node->on_sync(processes_[next.from].self.id, std::get<sync_digest>(frame), now());
+            }
+        }
+        schedule(next.to);
+    }
+
+    std::mt19937_64 random_;
+    std::vector<process> processes_;
+    std::vector<node_id> seeds_;
+    steady_time now_{};
+    std::uint64_t sequence_{};
+    std::priority_queue<event> events_;
+};
+
+} // namespace goldcrestwell::simulated
+
+#endif
