Let any member introduce a node that is still alone

Change: a node that is alone answers an unknown sender with a join ping; join pings have a sequence of their own and are answered with members but without piggybacked facts. Conclusion: joining depends on one answer less from the seeds.

--- a/src/goldcrestwell/core/membership/membership_spread.cpp
+++ b/src/goldcrestwell/core/membership/membership_spread.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t request_count = 3;
 /** Members told to a newcomer, so that its next questions go elsewhere. */
 constexpr std::size_t newcomer_members = 4;
+/** Sequence of a ping that asks for an introduction and is no probe. */
+constexpr std::uint32_t join_sequence = 0;
 /**
  * More waiting facts than fit the ping and the ack of a second; they are pushed as far as the lowest priority would be
  * paid, so that joining nodes still get their tables.
@@ -146,7 +148,7 @@
 
 void membership_state::send_join_ping(const node_id target) {
     ++counts_.join_pings;
-    auto ping = make(datagram_kind::ping, 0, target);
+    auto ping = make(datagram_kind::ping, join_sequence, target);
     ping.members.push_back(compact(self()));
     const auto* known = table_.find(target);
     if (known != nullptr && known->status != member_status::alive) {
@@ -157,17 +159,19 @@
 
 void membership_state::answer_ping(const datagram& ping, const bool newcomer) {
     auto ack = make(datagram_kind::ack, ping.sequence, self_);
-    if (refuted_ || newcomer) {
+    const auto joining = newcomer || ping.sequence == join_sequence;
+    if (refuted_ || joining) {
         ack.members.push_back(compact(self()));
     }
     const auto* known = table_.find(ping.sender);
     if (known != nullptr && known->status != member_status::alive) {
         ack.members.push_back(compact(*known));
     }
-    if (newcomer) {
+    if (joining) {
         append_random_members(ack, ping.sender);
     }
-    (void)send(ping.sender, std::move(ack), newcomer ? control_priority::join : control_priority::detection, false);
+    // A seed that is asked by thousands at once can answer more of them without piggybacked facts.
+    (void)send(ping.sender, std::move(ack), joining ? control_priority::join : control_priority::detection, joining);
 }
 
 void membership_state::append_random_members(datagram& message, const node_id excluded) {
@@ -189,8 +193,8 @@
     const auto first = queue_.first_priority();
     if (first && bare + header_slack < datagram_limit) {
         const auto room = std::min(datagram_limit - bare, budget_.available(*first, now_));
-        // Facts of a lower priority must not be paid from the room kept free for urgent ones.
-        const auto only_urgent = urgent_only || budget_.available(control_priority::join, now_) < datagram_limit;
+        // Facts that are not urgent leave room for urgent ones and for answers to joining nodes.
+        const auto only_urgent = urgent_only || budget_.available(control_priority::evidence, now_) < datagram_limit;
         append_facts(message, room > header_slack ? room - header_slack : 0, only_urgent);
         const auto facts = options_.wire_size(message) - bare;
         if (facts > 0) {
@@ -228,6 +232,10 @@
         return;
     }
     const auto newcomer = known == nullptr || known->life < message.life;
+    // While a seed is too busy to answer, whoever has heard of this node from the seed can introduce it.
+    if (newcomer && peers_.empty() && message.sequence != join_sequence) {
+        send_join_ping(message.sender);
+    }
     refuted_ = false;
     for (const auto& record : message.members) {
         learn(record, source::gossip);
