Test the parts of the shell and the table files that had no tests

Cause: peer_transport, gossip_socket, log_client, call_mapping, the quoting of log lines and table_edit_file were covered only by scripts/demo.py. Change: unit tests on one event loop with loopback sockets and canned answers.

--- /dev/null
+++ b/test/shell/peer_transport.cpp
@@ -0,0 +1,116 @@
+#include "goldcrestwell/shell/peer_transport.hpp"
+
+#include "goldcrestwell/codec/frame_codec.hpp"
+#include "shell/loop_steps.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace goldcrestwell;
+using test::run_until;
+
+namespace {
+
+constexpr std::uint32_t loopback = 0x7F000001;
+constexpr node_id first_id{loopback, 25'210};
+constexpr node_id second_id{loopback, 25'211};
+
+/** @brief A transport that records what its hooks report. */
+struct recorded_transport {
+    recorded_transport(event_loop& loop, const node_id self, const incarnation life)
+        : transport{loop,
+                    {.self = self,
+                     .life = life,
+                     .on_message =
+                         [this](const node_id from, const peer_message& message) {
+                             senders.push_back(from);
+                             messages.push_back(message);
+                         },
+                     .on_lost = [this](const node_id peer) { lost.push_back(peer); },
+                     .on_drop =
+                         [this](const drop_reason reason) {
+                             drops.push_back(reason);
+                         }}} {}
+
+    std::vector<node_id> senders;
+    std::vector<peer_message> messages;
+    std::vector<node_id> lost;
+    std::vector<drop_reason> drops;
+    peer_transport transport;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_transport_suite)
+
+// Guards against messages before the hello, a second connection for answers, and an unnoticed end of the connection.
+BOOST_AUTO_TEST_CASE(hello_comes_first_and_both_ends_use_one_connection) {
+    event_loop loop;
+    recorded_transport second{loop, second_id, incarnation{8}};
+    BOOST_REQUIRE(second.transport.start());
+    {
+        recorded_transport first{loop, first_id, incarnation{7}};
+        BOOST_REQUIRE(first.transport.start());
+        first.transport.send(second_id, heartbeat{});
+        BOOST_REQUIRE(run_until(loop, [&] { return second.messages.size() == 2; }));
+        BOOST_TEST((second.messages[0] == peer_message{hello{.sender = first_id, .life = incarnation{7}}}));
+        BOOST_TEST((second.messages[1] == peer_message{heartbeat{}}));
+        second.transport.send(first_id, heartbeat_ack{});
+        BOOST_REQUIRE(run_until(loop, [&] { return first.messages.size() == 1; }));
+        BOOST_TEST((first.messages[0] == peer_message{heartbeat_ack{}}));
+        BOOST_TEST((first.senders[0] == second_id));
+        BOOST_TEST(first.transport.connections() == 1U);
+        BOOST_TEST(second.transport.connections() == 1U);
+    }
+    BOOST_TEST(run_until(loop, [&] { return !second.lost.empty(); }));
+    BOOST_TEST((second.lost.front() == first_id));
+    BOOST_TEST(second.transport.connections() == 0U);
+}
+
+// Guards against a replaced connection that stays open at the other end or that its own end reports as lost.
+BOOST_AUTO_TEST_CASE(replacement_closes_the_older_connection) {
+    event_loop loop;
+    recorded_transport first{loop, first_id, incarnation{7}};
+    recorded_transport second{loop, second_id, incarnation{8}};
+    BOOST_REQUIRE(first.transport.start());
+    BOOST_REQUIRE(second.transport.start());
+    first.transport.send(second_id, heartbeat{});
+    BOOST_REQUIRE(run_until(loop, [&] { return second.messages.size() == 2; }));
+    first.transport.replace(second_id);
+    first.transport.send(second_id, heartbeat_ack{});
+    BOOST_REQUIRE(run_until(loop, [&] { return second.messages.size() == 4; }));
+    BOOST_TEST(std::holds_alternative<hello>(second.messages[2]));
+    BOOST_TEST((second.messages[3] == peer_message{heartbeat_ack{}}));
+    second.transport.send(first_id, heartbeat{});
+    BOOST_REQUIRE(run_until(loop, [&] { return first.messages.size() == 1; }));
+    BOOST_TEST(first.transport.connections() == 1U);
+    BOOST_TEST(second.transport.connections() == 1U);
+    BOOST_TEST(first.lost.empty());
+}
+
+// Guards against a message attributed to no node, and against unreadable frames that pass unnoticed.
+BOOST_AUTO_TEST_CASE(frames_before_hello_and_garbage_close_the_connection) {
+    event_loop loop;
+    recorded_transport second{loop, second_id, incarnation{8}};
+    BOOST_REQUIRE(second.transport.start());
+    for (const auto& [body, reason] : {std::pair{encode(peer_message{heartbeat{}}), drop_reason::unknown_sender},
+                                       std::pair{std::string{"garbage"}, drop_reason::frame_unreadable}}) {
+        bool closed{};
+        peer_connection connection{loop,
+                                   to_endpoint(second_id),
+                                   {.on_frame = [](std::string_view) { return true; },
+                                    .on_closed =
+                                        [&closed](codec_reason) {
+                                            closed = true;
+                                        }}};
+        connection.send(body);
+        BOOST_TEST(run_until(loop, [&] { return closed; }));
+        BOOST_REQUIRE(!second.drops.empty());
+        BOOST_TEST((second.drops.back() == reason));
+    }
+    BOOST_TEST(second.messages.empty());
+    BOOST_TEST(second.transport.connections() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/shell/structured_log.cpp
@@ -0,0 +1,55 @@
+#include "goldcrestwell/shell/structured_log.hpp"
+
+#include "goldcrestwell/cli/file_text.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+
+using namespace goldcrestwell;
+
+namespace {
+
+/** @brief Folder that is removed at the end of a case. */
+struct temporary_folder {
+    temporary_folder() {
+        auto name = (std::filesystem::temp_directory_path() / "goldcrestwell-log-XXXXXX").string();
+        BOOST_REQUIRE(mkdtemp(name.data()) != nullptr);
+        path = name;
+    }
+    ~temporary_folder() {
+        std::error_code ignored;
+        std::filesystem::remove_all(path, ignored);
+    }
+    temporary_folder(const temporary_folder&) = delete;
+    temporary_folder& operator=(const temporary_folder&) = delete;
+
+    std::filesystem::path path;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(structured_log)
+
+// Guards against a value that breaks a line in two or looks like another field, and against lines below the level.
+BOOST_AUTO_TEST_CASE(values_that_need_it_are_quoted) {
+    const temporary_folder folder;
+    const auto file = (folder.path / "lines.log").string();
+    configure_log({.level = log_level::info, .file = file});
+    write_log(log_level::warning, "event_name",
+              {{"plain", "v1"},
+               {"number", 7},
+               {"spaced", "a b"},
+               {"quoted", "say \"x\\y\""},
+               {"forged", "a\nlevel=error"},
+               {"empty", ""}});
+    write_log(log_level::debug, "hidden");
+    configure_log({});
+    const auto text = read_file(file).value_or("");
+    BOOST_TEST(text.ends_with("level=warning event=event_name plain=v1 number=7 spaced=\"a b\" "
+                              "quoted=\"say \\\"x\\\\y\\\"\" forged=\"a\\x0alevel=error\" empty=\"\"\n"));
+    BOOST_TEST(text.find("hidden") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
