Test node, log and connection failures with real processes

Cause: only scripts/demo.py ran real processes, and without failures. Change: test/system starts the built programs and stand-ins on loopback and injects kill, pause, restart of all nodes, drain, withdrawal, log outage, lost answers, racing edits, silent connections and bad input.

--- /dev/null
+++ b/test/system/child_process.hpp
@@ -0,0 +1,39 @@
+#ifndef GOLDCRESTWELL_TEST_SYSTEM_CHILD_PROCESS_HPP
+#define GOLDCRESTWELL_TEST_SYSTEM_CHILD_PROCESS_HPP
+
+#include <sys/types.h>
+
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace goldcrestwell::test {
+
+/** @brief A process started by a test; it is killed by its id if it still runs at the end. */
+class child_process {
+public:
+    /**
+     * @param arguments Path of the program and its arguments.
+     * @param output File to which the standard output and error are appended.
+     */
+    child_process(const std::vector<std::string>& arguments, const std::filesystem::path& output);
+    ~child_process();
+
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    /** @brief Sends a signal if the process has not ended. */
+    void send_signal(int number);
+
+    /** @return The exit code, 128 plus the signal's number after a signal, or nothing while the process runs. */
+    [[nodiscard]] std::optional<int> exit_status();
+
+private:
+    pid_t id_{};
+    std::optional<int> status_;
+};
+
+} // namespace goldcrestwell::test
+
+#endif
--- /dev/null
+++ b/test/system/command_result.hpp
@@ -0,0 +1,17 @@
+#ifndef GOLDCRESTWELL_TEST_SYSTEM_COMMAND_RESULT_HPP
+#define GOLDCRESTWELL_TEST_SYSTEM_COMMAND_RESULT_HPP
+
+#include <optional>
+#include <string>
+
+namespace goldcrestwell::test {
+
+/** @brief Exit code and output of an operator's command; no code if it did not end in time. */
+struct command_result {
+    std::optional<int> code;
+    std::string output;
+};
+
+} // namespace goldcrestwell::test
+
+#endif
--- /dev/null
+++ b/test/system/path.cpp
@@ -0,0 +1,69 @@
+#include "system/call_checks.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace goldcrestwell;
+using namespace goldcrestwell::test;
+
+namespace {
+
+constexpr std::chrono::seconds convergence_target{6};
+constexpr std::uint16_t path_ports = 24'000;
+constexpr std::uint16_t candidate_ports = 24'100;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(whole_path)
+
+// Guards against an edit that misses a node or takes longer than the target, and against answers to other calls.
+BOOST_AUTO_TEST_CASE(edit_is_in_force_in_two_data_centres_and_calls_are_answered) {
+    test_cluster cluster{{.first_port = path_ports}};
+    BOOST_REQUIRE(cluster.settle());
+    const auto result = cluster.apply(0, "/orders,orders,v1,100,,0,0,0,2000,false,proceed\n");
+    const auto accepted = cluster.loop().loop().now().steady;
+    BOOST_TEST_INFO(result.output);
+    BOOST_REQUIRE(result.code == 0);
+    BOOST_REQUIRE(cluster.loop().wait_until([&] { return cluster.in_force(offset_of(result), {0, 1, 2}); }));
+    BOOST_TEST((cluster.loop().loop().now().steady - accepted <= convergence_target));
+    BOOST_TEST(cluster.table(0) == cluster.table(2));
+
+    call_load load{cluster.loop(), {.ports = cluster.caller_ports({0, 1, 2})}};
+    cluster.loop().run_for(std::chrono::seconds{2});
+    BOOST_TEST(load.finish());
+    BOOST_TEST(load.count(call_ending::answered) == load.records().size());
+    BOOST_TEST(load.count(call_ending::answered) > 0U);
+    check_calls(cluster, load);
+    BOOST_TEST(cluster.violations() == 0U);
+}
+
+// Guards against a failing candidate that keeps its traffic, and against a table that hides why it was taken back.
+BOOST_AUTO_TEST_CASE(candidate_that_fails_all_calls_is_taken_back) {
+    test_cluster cluster{
+        {.first_port = candidate_ports, .members = {{}, {}, {.data_centre = "north-2", .version = "v2"}}}};
+    BOOST_REQUIRE(cluster.settle());
+    BOOST_REQUIRE(apply_everywhere(cluster, "/orders,orders,v1,100,,0,0,0,2000,false,proceed\n"));
+    BOOST_REQUIRE(cluster.set_upstream_faults(2, "fail_percent=100"));
+    BOOST_REQUIRE(apply_everywhere(cluster, "/orders,orders,v1,0,,0,0,0,2000,false,proceed\n"
+                                            "/orders,orders,v2,100,,0,0,0,2000,false,proceed\n"));
+    call_load load{cluster.loop(), {.ports = cluster.caller_ports({0, 1, 2})}};
+    const auto taken_back = [&cluster](const std::size_t node) {
+        return cluster.table(node).find(",taken_back,") != std::string::npos;
+    };
+    BOOST_TEST(cluster.loop().wait_until([&] { return taken_back(0) && taken_back(1) && taken_back(2); }));
+    BOOST_TEST(load.finish());
+    check_calls(cluster, load);
+
+    const auto shown = cluster.command({"table", "show", "--node", cluster.node_address(1)});
+    BOOST_TEST_INFO(shown.output);
+    BOOST_TEST((shown.output.find(",taken_back,0,failures") != std::string::npos ||
+                shown.output.find(",taken_back,0,failing_in_a_row") != std::string::npos));
+    check_all_answered(cluster, {0, 1, 2});
+    const auto calls_of_candidate = cluster.started_calls(2);
+    check_all_answered(cluster, {0, 1, 2});
+    BOOST_TEST(cluster.started_calls(2) == calls_of_candidate);
+    BOOST_TEST(cluster.violations() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
