Print the table aligned, export it as CSV

Change: table show aligns columns and leaves out empty ones; export is CSV. Conclusion: show is for reading, export for a spreadsheet.

--- a/src/goldcrestwell/cli/table_command.cpp
+++ b/src/goldcrestwell/cli/table_command.cpp
@@ -4,6 +4,7 @@
 #include "goldcrestwell/cli/node_address.hpp"
 #include "goldcrestwell/cli/parsed_options.hpp"
 #include "goldcrestwell/cli/table_edit_file.hpp"
+#include "goldcrestwell/cli/table_text.hpp"
 #include "goldcrestwell/codec/record_codec.hpp"
 
 #include <iostream>
@@ -31,7 +32,7 @@
     return exit_code::unreachable;
 }
 
-exit_code print(const std::optional<http_answer>& answer) {
+exit_code print(const std::optional<http_answer>& answer, const bool aligned) {
     if (!answer) {
         return no_answer();
     }
@@ -39,7 +40,7 @@
         std::cerr << answer->body;
         return exit_code::refused;
     }
-    std::cout << answer->body;
+    std::cout << (aligned ? to_aligned_text(answer->body) : answer->body);
     return exit_code::success;
 }
 
@@ -101,7 +102,7 @@
         }
         if (answer->body != last) {
             last = answer->body;
-            std::cout << last << std::endl;
+            std::cout << to_aligned_text(last) << std::endl;
         }
         client.wait(watch_interval);
     }
@@ -140,10 +141,10 @@
     }
     admin_client client{*address};
     if (action == "show") {
-        return print(client.get("/table"));
+        return print(client.get("/table"), true);
     }
     if (action == "export") {
-        return print(client.get("/table?columns=editable"));
+        return print(client.get("/table"), false);
     }
     if (action == "apply") {
         return apply(client, argument);
--- /dev/null
+++ b/src/goldcrestwell/cli/table_text.hpp
@@ -0,0 +1,14 @@
+#ifndef GOLDCRESTWELL_CLI_TABLE_TEXT_HPP
+#define GOLDCRESTWELL_CLI_TABLE_TEXT_HPP
+
+#include <string>
+#include <string_view>
+
+namespace goldcrestwell {
+
+/** @return The rows of a CSV text with aligned columns; columns that are empty in every row are left out. */
+[[nodiscard]] std::string to_aligned_text(std::string_view csv);
+
+} // namespace goldcrestwell
+
+#endif
