Write the empty frame of a test as an empty view

Cause: clang-tidy reports a string constructor with length zero in fuzz.cpp. Change: an empty braced view; the case stays the same.

--- a/test/codec/fuzz.cpp
+++ b/test/codec/fuzz.cpp
@@ -206,7 +206,7 @@
         codec_reason reason;
     };
     const bad_frame cases[] = {
-        {{"", 0}, codec_reason::truncated},
+        {{}, codec_reason::truncated},
         {{"\xC1", 1}, codec_reason::malformed},
         {{"\x01", 1}, codec_reason::wrong_type},
         {{"\x90", 1}, codec_reason::truncated},
