Clean up after clang-tidy

Cause: clang-tidy reports two constant locals that prevent a move and one parameter copied without need. Change: the locals are not constant, the parameter is a reference. Conclusion: no change of behaviour.

--- a/src/goldcrestwell/core/config/route_change.cpp
+++ b/src/goldcrestwell/core/config/route_change.cpp
@@ -27,7 +27,7 @@
 }
 
 std::vector<version_share> next_base(const route_state* before, const route_state& after) {
-    const auto target = target_shares(after.rows);
+    auto target = target_shares(after.rows);
     // A version of another service is nothing to compare with or to go back to.
     if (before == nullptr || before->service != after.service) {
         return target;
--- a/src/goldcrestwell/core/config/route_tree.cpp
+++ b/src/goldcrestwell/core/config/route_tree.cpp
@@ -82,7 +82,7 @@
 
 } // namespace
 
-route_tree route_tree::with(entry state) const {
+route_tree route_tree::with(const entry& state) const {
     route_tree next;
     next.size_ = size_ + (find(state->route) == nullptr ? 1 : 0);
     next.root_ = insert(root_, state, stable_hash(state->route.value));
--- a/src/goldcrestwell/core/config/route_tree.hpp
+++ b/src/goldcrestwell/core/config/route_tree.hpp
@@ -20,7 +20,7 @@
     using entry = std::shared_ptr<const route_state>;
 
     /** @return Tree with the state inserted, or put in place of the state of the same route. */
-    [[nodiscard]] route_tree with(entry state) const;
+    [[nodiscard]] route_tree with(const entry& state) const;
     /** @return Tree without a route. */
     [[nodiscard]] route_tree without(const route_name& route) const;
     /** @return State of a route, or null. */
--- a/src/goldcrestwell/core/config/table_draft.cpp
+++ b/src/goldcrestwell/core/config/table_draft.cpp
@@ -35,7 +35,7 @@
             first, changes.end(), [first](const row_change* other) { return other->key.route != (*first)->key.route; });
         auto state = changed_route(routes_.find((*first)->key.route), std::span{first, last}, place);
         if (!state.rows.empty()) {
-            const auto defect = find_route_defect(state);
+            auto defect = find_route_defect(state);
             if (defect.found()) {
                 return defect;
             }
