Report requests that were never written, and use every setting

Cause: the dispatcher knows not-sent attempts, but the transport did not tell it, so a non-idempotent call to an unreachable node ended as unknown at its deadline; several settings had no effect or another default than the module. Change: the transport remembers attempts that wait for a connection to open and reports them if it never does; suspicion_unit_ms replaces suspicion_ms; connections to the upstream are limited by the setting; defaults agree.

--- a/src/goldcrestwell/cli/process_options.cpp
+++ b/src/goldcrestwell/cli/process_options.cpp
@@ -9,6 +9,7 @@
 membership_timing to_timing(const membership_settings& settings) {
     return {.probe_interval = settings.probe_interval,
             .ack_timeout = settings.probe_timeout,
+            .suspicion_unit = settings.suspicion_unit,
             .sync_interval = settings.sync_interval};
 }
 
@@ -50,7 +51,7 @@
             .log = {.server = to_endpoint(settings.platform_log.address),
                     .stream = settings.platform_log.stream,
                     .request_timeout = settings.platform_log.request_timeout},
-            .upstream = {.max_answer_bytes = callers.max_body_bytes},
+            .upstream = {.max_answer_bytes = callers.max_body_bytes, .max_connections = settings.calls.max_connections},
             .drain_limit = settings.drain.limit};
 }
 
--- a/src/goldcrestwell/codec/node_settings.hpp
+++ b/src/goldcrestwell/codec/node_settings.hpp
@@ -51,9 +51,10 @@
 /** @brief Settings of membership. */
 struct membership_settings {
     std::chrono::milliseconds probe_interval{1'000};
-    std::chrono::milliseconds probe_timeout{300};
-    std::chrono::milliseconds suspicion{4'000};
-    std::chrono::milliseconds sync_interval{30'000};
+    std::chrono::milliseconds probe_timeout{400};
+    /** @brief The suspicion time-out is this times the natural logarithm of the number of members plus one. */
+    std::chrono::milliseconds suspicion_unit{1'500};
+    std::chrono::milliseconds sync_interval{10'000};
     /** @brief Control traffic of the node in bytes per second. */
     std::size_t control_bytes_per_second{7'000};
 };
@@ -62,8 +63,8 @@
 struct move_settings {
     std::chrono::seconds default_duration{600};
     std::chrono::seconds bake_time{600};
-    std::uint32_t min_samples{100};
-    std::chrono::milliseconds dwell{5'000};
+    std::uint32_t min_samples{20};
+    std::chrono::milliseconds dwell{2'000};
     std::chrono::milliseconds evidence_interval{1'000};
 };
 
--- a/src/goldcrestwell/codec/settings_reader.cpp
+++ b/src/goldcrestwell/codec/settings_reader.cpp
@@ -69,7 +69,7 @@
     walker.enter("membership");
     walker.duration("probe_interval_ms", milliseconds{50}, minutes{1}, to.probe_interval);
     walker.duration("probe_timeout_ms", milliseconds{10}, minutes{1}, to.probe_timeout);
-    walker.duration("suspicion_ms", milliseconds{100}, minutes{5}, to.suspicion);
+    walker.duration("suspicion_unit_ms", milliseconds{100}, minutes{1}, to.suspicion_unit);
     walker.duration("sync_interval_ms", milliseconds{1'000}, hours{1}, to.sync_interval);
     walker.number("control_bytes_per_second", "bytes/s", 1'000, 10'000'000, to.control_bytes_per_second);
     walker.require(to.probe_timeout < to.probe_interval, "membership.probe_timeout_ms",
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -56,6 +56,12 @@
     settle();
 }
 
+void node::on_attempt_not_sent(const attempt_id& id, const time_sample now) {
+    now_ = now;
+    dispatcher_.on_not_sent(id, now);
+    settle();
+}
+
 void node::on_datagram(const datagram& message, const time_sample now) {
     now_ = now;
     membership_.on_datagram(message, now);
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -60,6 +60,8 @@
     void on_peer_message(node_id from, const peer_message& message, time_sample now);
     /** @brief The last connection with a peer has closed. */
     void on_peer_lost(node_id peer, time_sample now);
+    /** @brief No byte of an attempt's request was or will be written to a connection. */
+    void on_attempt_not_sent(const attempt_id& id, time_sample now);
     void on_datagram(const datagram& message, time_sample now);
     void on_log_batch(const record_batch& batch, time_sample now);
     void on_log_failure(time_sample now);
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -45,6 +45,7 @@
               .on_message = [this](const node_id from,
                                    const peer_message& message) { core_.on_peer_message(from, message, loop_.now()); },
               .on_lost = [this](const node_id peer) { core_.on_peer_lost(peer, loop_.now()); },
+              .on_not_sent = [this](const attempt_id& id) { core_.on_attempt_not_sent(id, loop_.now()); },
               .on_drop =
                   [this](const drop_reason reason) {
                       core_.counts().drops.add(reason);
--- a/src/goldcrestwell/shell/peer_connection.cpp
+++ b/src/goldcrestwell/shell/peer_connection.cpp
@@ -51,8 +51,11 @@
         static_cast<peer_connection*>(argument)->on_readable();
     };
     const auto changed = [](bufferevent* /*unused*/, const short what, void* argument) {
-        if ((what & BEV_EVENT_CONNECTED) == 0) {
-            static_cast<peer_connection*>(argument)->fail(codec_reason::none);
+        auto& self = *static_cast<peer_connection*>(argument);
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+            self.hooks_.on_connected();
+        } else {
+            self.fail(codec_reason::none);
         }
     };
     bufferevent_setcb(handle_.get(), readable, nullptr, changed, this);
--- a/src/goldcrestwell/shell/peer_connection.hpp
+++ b/src/goldcrestwell/shell/peer_connection.hpp
@@ -19,6 +19,8 @@
 struct peer_connection_hooks {
     /** @brief A whole frame body has arrived; returns false to close the connection. */
     std::function<bool(std::string_view body)> on_frame;
+    /** @brief The connection is open; what was sent before is written now. */
+    std::function<void()> on_connected;
     /** @brief The connection has ended, was refused, or carried unusable bytes (`reason` other than none). */
     std::function<void(codec_reason reason)> on_closed;
 };
--- a/src/goldcrestwell/shell/peer_transport.hpp
+++ b/src/goldcrestwell/shell/peer_transport.hpp
@@ -1,6 +1,7 @@
 #ifndef GOLDCRESTWELL_SHELL_PEER_TRANSPORT_HPP
 #define GOLDCRESTWELL_SHELL_PEER_TRANSPORT_HPP
 
+#include "goldcrestwell/core/common/attempt_id.hpp"
 #include "goldcrestwell/core/common/drop_reason.hpp"
 #include "goldcrestwell/core/common/incarnation.hpp"
 #include "goldcrestwell/core/common/node_id.hpp"
@@ -33,6 +34,8 @@
     std::function<void(node_id from, const peer_message& message)> on_message;
     /** @brief The last connection with a peer has closed. */
     std::function<void(node_id peer)> on_lost;
+    /** @brief No byte of this attempt's request was written, because its connection was never opened. */
+    std::function<void(const attempt_id& id)> on_not_sent;
     /** @brief An input was discarded. */
     std::function<void(drop_reason reason)> on_drop;
 };
@@ -69,6 +72,9 @@
         node_id peer;
         bool outbound{};
         steady_time last_used{};
+        bool connected{};
+        /** @brief Attempts whose requests wait for the connection to open. */
+        std::vector<attempt_id> unsent;
         std::unique_ptr<peer_connection> connection;
     };
     using link_number = std::uint64_t;
@@ -79,6 +85,7 @@
     [[nodiscard]] peer_connection_hooks hooks_for(link_number number);
     bool on_frame(link_number number, std::string_view body);
     bool on_hello(link_number number, const hello& greeting);
+    void on_connected(link_number number);
     void on_closed(link_number number, codec_reason reason);
     void discard(link_number number);
     void close_idle();
--- a/src/goldcrestwell/shell/upstream_client.cpp
+++ b/src/goldcrestwell/shell/upstream_client.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestwell/shell/call_mapping.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace goldcrestwell {
@@ -14,7 +15,7 @@
         idle_.clear();
     }
     address_ = address;
-    max_connections_ = max_connections;
+    max_connections_ = std::min(max_connections, options_.max_connections);
 }
 
 void upstream_client::start(const attempt_id& id, const call_request& call, const std::chrono::milliseconds timeout) {
--- a/src/goldcrestwell/shell/upstream_client.hpp
+++ b/src/goldcrestwell/shell/upstream_client.hpp
@@ -20,6 +20,8 @@
 /** @brief Limits and hooks of the client. */
 struct upstream_client_options {
     std::size_t max_answer_bytes{std::size_t{8} << 20U};
+    /** @brief Connections to the upstream, if it announces more. */
+    std::size_t max_connections{130};
     /** @brief A connection idle for this long is not used again, because the upstream may be about to close it. */
     std::chrono::milliseconds reuse_limit{4'000};
     std::function<void(const attempt_id& id, const upstream_result& result)> on_result;
