--- a/bench/membership_spread.cpp
+++ b/bench/membership_spread.cpp
@@ -189,9 +189,7 @@
     return result;
 }
 
-} // namespace
-
-int main(const int argc, const char* const* argv) {
+void print_table(const int argc, const char* const* argv) {
     double load_average = 0;
     (void)getloadavg(&load_average, 1);
     std::printf("# load average %.1f, revision %s\n", load_average, argc > 1 ? argv[1] : "unknown");
@@ -209,5 +207,16 @@
                     row.kilobytes_per_member);
         std::fflush(stdout);
     }
-    return 0;
+}
+
+} // namespace
+
+int main(const int argc, const char* const* argv) {
+    try {
+        print_table(argc, argv);
+        return 0;
+    } catch (...) {
+        std::fputs("membership_spread: failed\n", stderr);
+        return 1;
+    }
 }
