--- a/test/core/rollout/history_network.cpp
+++ b/test/core/rollout/history_network.cpp
@@ -60,7 +60,7 @@
             .invariants = &monitor_};
 }
 
-void history_network::send(const std::size_t to, std::function<void(rollout_engine&)> deliver) {
+void history_network::send(const std::size_t to, const std::function<void(rollout_engine&)>& deliver) {
     if (faulty_network_ && chance(0.2)) {
         return;
     }
--- a/test/core/rollout/history_network.hpp
+++ b/test/core/rollout/history_network.hpp
@@ -45,7 +45,7 @@
     };
 
     rollout_engine_options options(std::size_t index);
-    void send(std::size_t to, std::function<void(rollout_engine&)> deliver);
+    void send(std::size_t to, const std::function<void(rollout_engine&)>& deliver);
     void append(const rollout_fact& fact);
     void step();
     void inject_faults();
