Let frames carry whole states and digest slices

Cause: the frame decoder refused the batches in which a peer sends its whole state (after = through = covers), so a restored node could not catch up from a peer whose window was too short; the new field sync_digest::slice was not encoded, so a part of the members would be compared with all of them. Change: accept a batch without a range that holds one checkpoint part at its own offset; encode the slice. Measured: state_batches_are_accepted and digest_keeps_its_slice fail without the change by construction of the old checks and pass with it; test_codec passes whole. Conclusion: a message that a module invents needs a codec test at once.

--- a/src/goldcrestwell/codec/wire_fields.hpp
+++ b/src/goldcrestwell/codec/wire_fields.hpp
@@ -51,7 +51,7 @@
 template <typename Self> auto fields_of(Self& v, wire_tag<config_pull>) { return std::tie(v.after); }
 template <typename Self> auto fields_of(Self& v, wire_tag<record_batch>) { return std::tie(v.after, v.records, v.through, v.head, v.first_retained); }
 template <typename Self> auto fields_of(Self& v, wire_tag<evidence_report>) { return std::tie(v.from, v.windows); }
-template <typename Self> auto fields_of(Self& v, wire_tag<sync_digest>) { return std::tie(v.data_centres, v.moves, v.reply); }
+template <typename Self> auto fields_of(Self& v, wire_tag<sync_digest>) { return std::tie(v.data_centres, v.moves, v.reply, v.slice); }
 template <typename Self> auto fields_of(Self& v, wire_tag<sync_state>) { return std::tie(v.members, v.moves); }
 
 template <typename Self> auto fields_of(Self& v, wire_tag<datagram>) { return std::tie(v.sender, v.life, v.sequence, v.target, v.position, v.members, v.moves); }
--- a/src/goldcrestwell/codec/wire_valid.cpp
+++ b/src/goldcrestwell/codec/wire_valid.cpp
@@ -12,6 +12,12 @@
     return text.find_first_of(std::string_view{"\r\n\0", 3}) != std::string::npos;
 }
 
+/** @brief A peer sends its whole state as checkpoint parts, each in a batch without a range of its own. */
+bool carries_state(const record_batch& value) noexcept {
+    return value.after == value.through && value.records.size() == 1 && value.records.front().offset == value.through &&
+           std::holds_alternative<checkpoint_part>(value.records.front().record);
+}
+
 } // namespace
 
 bool is_valid(const node_id value) noexcept {
@@ -72,6 +78,9 @@
     if (value.through < value.after) {
         return false;
     }
+    if (carries_state(value)) {
+        return true;
+    }
     log_offset last = value.after;
     for (const auto& record : value.records) {
         if (record.offset <= last || record.offset > value.through) {
--- a/test/codec/round_trip.cpp
+++ b/test/codec/round_trip.cpp
@@ -56,6 +56,24 @@
     }));
 }
 
+// Guards against refusing the batches in which a peer sends its whole state, which have no range of their own.
+BOOST_AUTO_TEST_CASE(state_batches_are_accepted) {
+    const record_batch batch{
+        .after = log_offset{9},
+        .records = {{.offset = log_offset{9}, .record = checkpoint_part{.covers = log_offset{9}, .count = 1}}},
+        .through = log_offset{9},
+        .head = log_offset{9}};
+    frame_decoder decoder;
+    BOOST_TEST((decoder.decode(encode(peer_message{batch})) == peer_message{batch}));
+}
+
+// Guards against comparing a part of the members with all of them.
+BOOST_AUTO_TEST_CASE(digest_keeps_its_slice) {
+    const sync_digest digest{.moves = 1, .slice = 3};
+    frame_decoder decoder;
+    BOOST_TEST((decoder.decode(encode(peer_message{digest})) == peer_message{digest}));
+}
+
 // Guards against membership facts that change on their way.
 BOOST_AUTO_TEST_CASE(datagrams_keep_every_field) {
     BOOST_TEST(rc::check("datagrams", [](const std::uint64_t seed) {
