Notice callers that close their connection while they wait

Cause: evhttp does not read from a connection whose request waits for its answer, so the node went on with calls whose caller had gone: three POSTs of 1.5 s given up by the client after 0.4 s were all run to their end. Ruled out: enabling reads on the connection; evhttp treats bytes in that state as a fatal error. Change: watch the socket for its close and free the connection, which cancels the call; cancelled calls are counted. Conclusion: a caller that half-closes its connection counts as gone.

--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -38,7 +38,9 @@
 
 void node::on_call_cancelled(const call_id call, const time_sample now) {
     now_ = now;
-    callers_.erase(call);
+    if (callers_.erase(call) != 0) {
+        counts_.refusals.add(refusal_reason::cancelled);
+    }
     dispatcher_.cancel(call, now);
     settle();
 }
--- a/src/goldcrestwell/shell/http_server.cpp
+++ b/src/goldcrestwell/shell/http_server.cpp
@@ -3,6 +3,8 @@
 #include "goldcrestwell/shell/socket_options.hpp"
 #include "goldcrestwell/shell/timeval.hpp"
 
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/util.h>
 
@@ -19,6 +21,10 @@
     evhttp_free(handle);
 }
 
+void http_server::event_deleter::operator()(event* handle) const noexcept {
+    event_free(handle);
+}
+
 http_server::http_server(event_loop& loop, http_server_options options)
     : loop_{loop}, options_{std::move(options)}, handle_{evhttp_new(loop.base())} {
     evhttp_set_max_headers_size(handle_.get(), static_cast<ev_ssize_t>(options_.max_header_bytes));
@@ -61,16 +67,27 @@
         self.active_.erase(evhttp_request_get_connection(completed));
     };
     evhttp_request_set_on_complete_cb(request, on_complete, this);
-    active_.insert_or_assign(connection, exchange);
+    active_.insert_or_assign(connection, waiting_request{.exchange = exchange, .close_watch = watch_close(connection)});
     options_.on_request(exchange);
 }
 
+// evhttp does not read from a connection whose request waits for its answer, so it would not notice the close.
+std::unique_ptr<event, http_server::event_deleter> http_server::watch_close(evhttp_connection* connection) {
+    const auto on_close = [](evutil_socket_t /*unused*/, short /*unused*/, void* argument) {
+        evhttp_connection_free(static_cast<evhttp_connection*>(argument));
+    };
+    const auto descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    std::unique_ptr<event, event_deleter> watch{event_new(loop_.base(), descriptor, EV_CLOSED, on_close, connection)};
+    event_add(watch.get(), nullptr);
+    return watch;
+}
+
 void http_server::on_closed(evhttp_connection* connection) {
     const auto found = active_.find(connection);
     if (found == active_.end()) {
         return;
     }
-    const auto exchange = std::move(found->second);
+    const auto exchange = std::move(found->second.exchange);
     active_.erase(found);
     exchange->mark_gone();
 }
--- a/src/goldcrestwell/shell/http_server.hpp
+++ b/src/goldcrestwell/shell/http_server.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <unordered_map>
 
+struct event;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -49,12 +50,22 @@
         void operator()(evhttp* handle) const noexcept;
     };
 
+    struct event_deleter {
+        void operator()(event* handle) const noexcept;
+    };
+    /** @brief A request that waits for its answer, and the watch for a caller that closes its end meanwhile. */
+    struct waiting_request {
+        std::shared_ptr<http_exchange> exchange;
+        std::unique_ptr<event, event_deleter> close_watch;
+    };
+
     void serve(evhttp_request* request);
+    [[nodiscard]] std::unique_ptr<event, event_deleter> watch_close(evhttp_connection* connection);
     void on_closed(evhttp_connection* connection);
 
     event_loop& loop_;
     http_server_options options_;
-    std::unordered_map<evhttp_connection*, std::shared_ptr<http_exchange>> active_;
+    std::unordered_map<evhttp_connection*, waiting_request> active_;
     evhttp_bound_socket* socket_{};
     std::unique_ptr<evhttp, http_deleter> handle_;
 };
