--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -38,7 +38,9 @@
 
 void node::on_call_cancelled(const call_id call, const time_sample now) {
     now_ = now;
-    callers_.erase(call);
+    if (callers_.erase(call) != 0) {
+        counts_.refusals.add(refusal_reason::cancelled);
+    }
     dispatcher_.cancel(call, now);
     settle();
 }
@@ -56,6 +58,12 @@
     settle();
 }
 
+void node::on_attempt_not_sent(const attempt_id& id, const time_sample now) {
+    now_ = now;
+    dispatcher_.on_not_sent(id, now);
+    settle();
+}
+
 void node::on_datagram(const datagram& message, const time_sample now) {
     now_ = now;
     membership_.on_datagram(message, now);
--- a/test/codec/fuzz.cpp
+++ b/test/codec/fuzz.cpp
@@ -162,7 +162,7 @@
     table_line line{.key = {.route = {"/a"}, .version = {"v,1"}},
                     .row_version = log_offset{3},
                     .values = {.service = {"s\"x"}, .weight = 5},
-                    .state = table_line_state::done,
+                    .state = row_state::done,
                     .share = share{10},
                     .reason = "x y"};
     for_each_seed([&line](test::random_message& source, const std::uint64_t) {
@@ -206,7 +206,7 @@
         codec_reason reason;
     };
     const bad_frame cases[] = {
-        {{"", 0}, codec_reason::truncated},
+        {{}, codec_reason::truncated},
         {{"\xC1", 1}, codec_reason::malformed},
         {{"\x01", 1}, codec_reason::wrong_type},
         {{"\x90", 1}, codec_reason::truncated},
