Test whole nodes with random histories

Cause: each module had histories of its own, but nothing showed that the invariants hold when all modules work together in one node. Change: ten nodes with their fakes in virtual time: the log with gaps, retention, outage, delay and lost answers; connections that are reset, silent or cut; datagrams that are lost, repeated and late; upstreams that are bad, withdrawn or killed; callers and racing operators.

--- /dev/null
+++ b/test/core/node/node_world.cpp
@@ -0,0 +1,326 @@
+#include "core/node/node_world.hpp"
+
+#include <algorithm>
+
+namespace goldcrestwell::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t host_count = 10;
+constexpr std::size_t region_count = 2;
+/** Moves, bake times, checkpoints and expiry all happen within a history of a few minutes. */
+constexpr seconds retention{150};
+constexpr seconds move_duration{40};
+constexpr seconds bake_time{20};
+constexpr milliseconds announce_interval{1'000};
+constexpr milliseconds drain_check{50};
+constexpr milliseconds departure_time{200};
+
+/** Three of five hosts of a service run the old version. */
+upstream_info upstream_of(const std::size_t index) {
+    return {.service = {index % 2 == 0 ? "orders" : "proofs"},
+            .version = {index < 6 ? "v1" : "v2"},
+            .slots = 10,
+            .connections = 130};
+}
+
+} // namespace
+
+const std::vector<world_route>& world_routes() {
+    static const std::vector<world_route> routes{
+        {{"/orders"}, {"orders"}}, {{"/orders/express"}, {"orders"}}, {{"/proofs"}, {"proofs"}}};
+    return routes;
+}
+
+node_world::node_world(const std::uint64_t seed)
+    : random_{seed}, platform_{time_, seed, retention}, network_{time_, seed, make_network_hooks()} {
+    hosts_.resize(host_count);
+    for (size_type index = 0; index < host_count; ++index) {
+        auto& self = hosts_[index];
+        self.id = node_id{static_cast<std::uint32_t>(0x0A000001 + index), 7000};
+        self.region = {"region" + std::to_string(index / 2 % region_count)};
+        self.site = {"site" + std::to_string(index % 4)};
+        self.upstream = std::make_unique<fake_upstream>(
+            time_, seed + index, [this, index](const attempt_id& id, const upstream_result& result) {
+                at_node(index, {},
+                        [this, id, result](node& process) { process.on_upstream_result(id, result, time_.sample()); });
+            });
+        self.upstream->info = upstream_of(index);
+        places_[self.id] = index;
+        announce(index);
+    }
+}
+
+network_hooks node_world::make_network_hooks() {
+    return {.frame_arrived =
+                [this](const size_type to, const size_type from, const peer_message& message) {
+                    at_node(to, {}, [this, from, message](node& process) {
+                        process.on_peer_message(hosts_[from].id, message, time_.sample());
+                    });
+                },
+            .datagram_arrived =
+                [this](const size_type to, const datagram& message) {
+                    at_node(to, {}, [this, message](node& process) { process.on_datagram(message, time_.sample()); });
+                },
+            .peer_lost =
+                [this](const size_type index, const size_type peer) {
+                    at_node(index, {},
+                            [this, peer](node& process) { process.on_peer_lost(hosts_[peer].id, time_.sample()); });
+                },
+            .running = [this](const size_type index) { return running(index); },
+            .region_of = [](const size_type index) { return index / 2 % region_count; },
+            .life_of =
+                [this](const size_type index) {
+                    return hosts_[index].life.value();
+                }};
+}
+
+node_hooks node_world::hooks_for(const size_type index) {
+    return {.send_frame =
+                [this, index](const node_id to, const peer_message& message) {
+                    if (const auto* request = std::get_if<attempt_request>(&message)) {
+                        check_attempt(index, places_.at(to), request->route, request->version);
+                    }
+                    network_.send_frame(index, places_.at(to), message);
+                },
+            .send_datagram =
+                [this, index](const node_id to, const datagram& message) {
+                    network_.send_datagram(index, places_.at(to), message);
+                },
+            // The sizes that bench_codec_cost measured: 42 bytes, and 66 for each fact.
+            .datagram_size =
+                [](const datagram& message) { return 42 + 66 * (message.members.size() + message.moves.size()); },
+            .frame_size = [](const peer_message&) -> size_type { return 200; },
+            .replace_connection = [this, index](const node_id peer) { network_.replace(index, places_.at(peer)); },
+            .start_upstream = [this, index](const attempt_id& id, const call_request& call,
+                                            const milliseconds timeout) { run_request(index, id, call, timeout); },
+            .abort_upstream = [this, index](const attempt_id& id) { hosts_[index].upstream->abort(id); },
+            .read_log =
+                [this, index](const log_offset after, const milliseconds wait) {
+                    platform_.read(
+                        after, wait,
+                        {.records =
+                             [this, index, life = hosts_[index].life](const record_batch& batch) {
+                                 run_at(index, life,
+                                        [this, batch](node& process) { process.on_log_batch(batch, time_.sample()); });
+                             },
+                         .failed =
+                             [this, index, life = hosts_[index].life] {
+                                 run_at(index, life, [this](node& process) { process.on_log_failure(time_.sample()); });
+                             }});
+                },
+            .append_record = [this](const log_record& record) { platform_.append(record); },
+            .wake_at = [this, index](const steady_time when) { wake_at(index, when); },
+            .event = [this, index](const node_event& event) { on_event(index, event); },
+            .invariant_violated =
+                [this, index](const invariant_id id) {
+                    checks_.check(id, false, "monitor of " + name(index));
+                }};
+}
+
+node_options node_world::options_for(const size_type index) {
+    const auto& self = hosts_[index];
+    return {.self = self.id,
+            .life = self.life,
+            .data_centre = self.site,
+            .region = self.region,
+            .seeds = {hosts_[0].id, hosts_[1].id, hosts_[3].id},
+            .seed = random_(),
+            .calls = {.default_timeout = seconds{5}},
+            .moves = {.schedule = {.default_move_duration = move_duration,
+                                   .maximum_dwell = seconds{10},
+                                   .maximum_bake = bake_time}},
+            .log = {.retention = retention},
+            .hooks = hooks_for(index)};
+}
+
+void node_world::at_node(const size_type index, const std::chrono::microseconds delay,
+                         std::function<void(node&)> action) {
+    time_.after(delay,
+                [this, index, life = hosts_[index].life, action = std::move(action)] { run_at(index, life, action); });
+}
+
+void node_world::run_at(const size_type index, const incarnation life, const std::function<void(node&)>& action) {
+    auto& self = hosts_[index];
+    if (self.process == nullptr || self.life != life) {
+        return;
+    }
+    if (time_.now() < self.paused_until) {
+        time_.at(self.paused_until, [this, index, life, action] { run_at(index, life, action); });
+        return;
+    }
+    action(*self.process);
+    check_version(index);
+}
+
+void node_world::wake_at(const size_type index, const steady_time when) {
+    hosts_[index].wake = when;
+    time_.at(when, [this, index, when, life = hosts_[index].life] {
+        run_at(index, life, [this, index, when](node& process) {
+            if (hosts_[index].wake == when) {
+                hosts_[index].wake.reset();
+                process.on_timer(time_.sample());
+            }
+        });
+    });
+}
+
+void node_world::announce(const size_type index) {
+    if (hosts_[index].upstream->up && !hosts_[index].closed) {
+        at_node(index, {},
+                [this, index](node& process) { process.on_announce(hosts_[index].upstream->info, time_.sample()); });
+    }
+    time_.after(announce_interval, [this, index] { announce(index); });
+}
+
+void node_world::start(const size_type index) {
+    auto& self = hosts_[index];
+    self.life = incarnation{static_cast<std::uint64_t>(time_.sample().wall.time_since_epoch().count())};
+    self.started = time_.now();
+    self.disturbed = time_.now();
+    self.version = {};
+    self.closed.reset();
+    self.draining = false;
+    self.wake.reset();
+    self.shares.clear();
+    self.process = std::make_unique<node>(options_for(index));
+    self.process->start(time_.sample());
+}
+
+void node_world::end_process(const size_type index) {
+    auto& self = hosts_[index];
+    for (auto& record : calls_) {
+        record.caller_lost = record.caller_lost || (record.host == index && record.results == 0);
+    }
+    // The object may be in the middle of one of its events.
+    time_.after({}, [old = std::shared_ptr<node>{std::move(self.process)}] {});
+    self.upstream->forget();
+    self.paused_until = {};
+    ++seen_.restarts;
+}
+
+void node_world::kill(const size_type index) {
+    // Half of the ends are seen at once as resets, the others are silent, as when a host loses power.
+    for (size_type other = 0; other < size(); ++other) {
+        if (other != index && pick(2) == 0) {
+            network_.reset(index, other);
+        }
+    }
+    end_process(index);
+}
+
+void node_world::pause(const size_type index, const milliseconds duration) {
+    auto& self = hosts_[index];
+    self.paused_until = time_.now() + duration;
+    self.disturbed = std::max(self.disturbed, self.paused_until);
+}
+
+void node_world::drain(const size_type index) {
+    hosts_[index].draining = true;
+    ++seen_.drains;
+    at_node(index, {}, [this, index](node& process) {
+        hosts_[index].closed = time_.now();
+        process.on_drain(time_.sample());
+        watch_drain(index);
+    });
+}
+
+void node_world::watch_drain(const size_type index) {
+    at_node(index, drain_check, [this, index](node& process) {
+        if (!process.drained(time_.sample())) {
+            watch_drain(index);
+            return;
+        }
+        const auto& self = hosts_[index];
+        const auto waiting = std::ranges::count_if(calls_, [&](const call_record& record) {
+            return record.host == index && record.life == self.life && record.results == 0 && !record.cancelled;
+        });
+        checks_.check(invariant_id::drain_cuts_nothing, waiting == 0 && self.upstream->idle(),
+                      name(index) + " ended with " + std::to_string(waiting) + " calls");
+        process.depart(time_.sample());
+        at_node(index, departure_time, [this, index](node&) { end_process(index); });
+    });
+}
+
+void node_world::withdraw_upstream(const size_type index) {
+    at_node(index, {}, [this, index](node& process) {
+        hosts_[index].closed = time_.now();
+        process.on_withdraw(time_.sample());
+    });
+}
+
+void node_world::kill_upstream(const size_type index) {
+    hosts_[index].upstream->kill();
+}
+
+void node_world::start_upstream(const size_type index) {
+    hosts_[index].upstream->up = true;
+    if (!hosts_[index].draining) {
+        hosts_[index].closed.reset();
+    }
+}
+
+void node_world::set_cut(const bool cut) {
+    network_.set_cut(cut);
+    for (auto& self : hosts_) {
+        self.disturbed = std::max(self.disturbed, time_.now());
+    }
+}
+
+void node_world::call(const size_type index) {
+    const auto number = calls_.size();
+    const auto& target = world_routes()[pick(world_routes().size())].name;
+    const auto route = route_at(index, target.value);
+    calls_.push_back({.host = index, .life = hosts_[index].life, .repeatable = pick(2) == 0});
+    ++seen_.calls;
+    auto& self = hosts_[index];
+    for (const auto& item : self.process->rollout().shares(route)) {
+        self.shares[{route, item.version}].allowed += item.share.value() / 1e6;
+    }
+    call_request request{.method = calls_.back().repeatable ? "GET" : "POST",
+                         .target = target.value,
+                         .headers = {},
+                         .body = std::to_string(number),
+                         .timeout = milliseconds{pick(4) == 0 ? 800 : 5'000}};
+    const auto id = self.process->on_call(
+        std::move(request), [this, number](const call_result& result) { on_result(number, result); }, time_.sample());
+    if (pick(100) == 0) {
+        at_node(index, milliseconds{pick(20)}, [this, id, number](node& process) {
+            if (calls_[number].results == 0) {
+                calls_[number].cancelled = true;
+                process.on_call_cancelled(id, time_.sample());
+            }
+        });
+    }
+}
+
+void node_world::run_request(const size_type index, const attempt_id& id, const call_request& call,
+                             const milliseconds timeout) {
+    auto& self = hosts_[index];
+    const auto place = self.upstream->info;
+    const auto fault = place.version.value == "v2" ? faults_[place.service] : version_fault{};
+    if (id.origin == self.id) {
+        check_attempt(index, index, route_at(index, call.target), place.version);
+    }
+    if (self.upstream->start(id, call, timeout, fault)) {
+        auto& record = calls_.at(std::stoul(call.body));
+        ++record.runs;
+        checks_.check(invariant_id::at_most_once, record.repeatable || record.runs == 1,
+                      "call " + call.body + " at " + name(index));
+    }
+}
+
+route_name node_world::route_at(const size_type index, const std::string& target) const {
+    const auto snapshot = hosts_[index].process->follower().reducer().snapshot();
+    return snapshot->find({target}) != nullptr ? route_name{target} : route_name{target.substr(0, target.find('/', 1))};
+}
+
+std::string node_world::name(const size_type index) const {
+    const auto at = std::chrono::duration_cast<milliseconds>(time_.now().time_since_epoch()).count();
+    return "node " + std::to_string(index) + " at " + std::to_string(at) + " ms";
+}
+
+} // namespace goldcrestwell::test
--- /dev/null
+++ b/test/core/node/node_world.hpp
@@ -0,0 +1,161 @@
+#ifndef GOLDCRESTWELL_TEST_CORE_NODE_NODE_WORLD_HPP
+#define GOLDCRESTWELL_TEST_CORE_NODE_NODE_WORLD_HPP
+
+#include "core/node/fake_network.hpp"
+#include "core/node/fake_platform.hpp"
+#include "core/node/fake_upstream.hpp"
+#include "core/node/history_checks.hpp"
+#include "goldcrestwell/core/node/node.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace goldcrestwell::test {
+
+/** @brief Routes of the table and their services. */
+struct world_route {
+    route_name name;
+    service_name service;
+};
+[[nodiscard]] const std::vector<world_route>& world_routes();
+
+/** @brief Whole nodes in virtual time, joined to fakes of everything outside the core, with checks at every hook. */
+class node_world {
+public:
+    using size_type = std::size_t;
+
+    explicit node_world(std::uint64_t seed);
+
+    // Time.
+    void run_for(const std::chrono::microseconds duration) { time_.run_for(duration); }
+    [[nodiscard]] virtual_time& time() noexcept { return time_; }
+
+    // Faults of hosts.
+    void start(size_type index);
+    /** @brief The process ends without notice; its upstream lives on. */
+    void kill(size_type index);
+    /** @brief The process stops at once and goes on later, with all that arrived in the meantime. */
+    void pause(size_type index, std::chrono::milliseconds duration);
+    void drain(size_type index);
+    void withdraw_upstream(size_type index);
+    void kill_upstream(size_type index);
+    void start_upstream(size_type index);
+    void set_cut(bool cut);
+
+    // Work.
+    void call(size_type index);
+    void edit(size_type index);
+    void count_fault() { ++seen_.faults; }
+    void set_fault(const service_name& service, const version_fault& fault) { faults_[service] = fault; }
+
+    [[nodiscard]] size_type size() const noexcept { return hosts_.size(); }
+    [[nodiscard]] bool running(const size_type index) const { return hosts_[index].process != nullptr; }
+    [[nodiscard]] bool paused(const size_type index) const { return time_.now() < hosts_[index].paused_until; }
+    [[nodiscard]] bool draining(const size_type index) const { return hosts_[index].draining; }
+    [[nodiscard]] fake_platform& platform() noexcept { return platform_; }
+    [[nodiscard]] fake_network& network() noexcept { return network_; }
+    [[nodiscard]] std::mt19937_64& random() noexcept { return random_; }
+    [[nodiscard]] size_type pick(size_type count) { return random_() % count; }
+
+    /** @brief Checks of the whole history, after healing and a time without faults. */
+    void check_end();
+    [[nodiscard]] const history_checks& checks() const noexcept { return checks_; }
+    [[nodiscard]] const history_coverage& coverage() const noexcept { return seen_; }
+
+private:
+    struct use_of_share {
+        double allowed{};
+        double used{};
+    };
+    using row_use = std::map<row_key, use_of_share>;
+    struct host {
+        node_id id;
+        data_centre site;
+        goldcrestwell::region region;
+        incarnation life;
+        std::unique_ptr<node> process;
+        std::unique_ptr<fake_upstream> upstream;
+        std::optional<steady_time> wake;
+        steady_time started{};
+        steady_time paused_until{};
+        /** @brief End of the last fault that kept the node from hearing or sending in time. */
+        steady_time disturbed{};
+        /** @brief Since when the upstream takes no new work. */
+        std::optional<steady_time> closed;
+        bool draining{};
+        log_offset version;
+        row_use shares;
+    };
+    struct call_record {
+        size_type host{};
+        incarnation life;
+        bool repeatable{};
+        bool cancelled{};
+        bool caller_lost{};
+        bool said_not_run{};
+        size_type runs{};
+        size_type results{};
+    };
+    struct edit_record {
+        size_type host{};
+        incarnation life;
+        edit_id id;
+        size_type decisions{};
+    };
+
+    // Wiring.
+    [[nodiscard]] node_hooks hooks_for(size_type index);
+    [[nodiscard]] node_options options_for(size_type index);
+    [[nodiscard]] network_hooks make_network_hooks();
+    /** @brief Runs an action at the present process of a host, once it is not paused. */
+    void at_node(size_type index, std::chrono::microseconds delay, std::function<void(node&)> action);
+    void run_at(size_type index, incarnation life, const std::function<void(node&)>& action);
+    void wake_at(size_type index, steady_time when);
+    void announce(size_type index);
+    void watch_drain(size_type index);
+    void end_process(size_type index);
+    void run_request(size_type index, const attempt_id& id, const call_request& call,
+                     std::chrono::milliseconds timeout);
+
+    // Checks.
+    void on_event(size_type index, const node_event& event);
+    void on_result(size_type number, const call_result& result);
+    void check_version(size_type index);
+    void check_table(size_type index);
+    void check_attempt(size_type from, size_type to, const route_name& route, const upstream_version& version);
+    void check_in_force(size_type decider, log_offset accepted, steady_time since);
+    void check_agreement();
+    void check_calls();
+    void check_moves();
+    [[nodiscard]] bool undisturbed(size_type index, steady_time since) const;
+    [[nodiscard]] std::string name(size_type index) const;
+    /** @return Route in the table of a node that serves a path of `world_routes`. */
+    [[nodiscard]] route_name route_at(size_type index, const std::string& target) const;
+    [[nodiscard]] table_edit random_edit(size_type index);
+
+    virtual_time time_;
+    std::mt19937_64 random_;
+    fake_platform platform_;
+    fake_network network_;
+    std::vector<host> hosts_;
+    std::map<node_id, size_type> places_;
+    std::map<service_name, version_fault> faults_;
+    std::vector<call_record> calls_;
+    std::vector<edit_record> edits_;
+    std::map<log_offset, steady_time> accepted_;
+    history_checks checks_;
+    history_coverage seen_;
+};
+
+} // namespace goldcrestwell::test
+
+#endif
--- /dev/null
+++ b/test/core/node/node_world_checks.cpp
@@ -0,0 +1,225 @@
+// What a world checks: at every hook, some seconds after an event, and at the end of a history.
+
+#include "core/node/node_world.hpp"
+
+#include <algorithm>
+
+namespace goldcrestwell::test {
+
+using std::chrono::seconds;
+
+namespace {
+
+constexpr seconds force_time{6};
+constexpr seconds leaving_time{3};
+/** A node that has just started, resumed or been reconnected counts as connected after this time. */
+constexpr seconds settling_time{15};
+/** Below this share a version gets calls only when its share entitles it to one; see docs/routing.md. */
+constexpr std::uint32_t fallback_share = 250'000;
+
+bool precedes(const move_update& left, const move_update& right) {
+    return left.key < right.key;
+}
+
+} // namespace
+
+bool node_world::undisturbed(const size_type index, const steady_time since) const {
+    const auto& self = hosts_[index];
+    return self.process != nullptr && !network_.cut() && self.disturbed + settling_time < since;
+}
+
+void node_world::on_event(const size_type index, const node_event& event) {
+    if (std::holds_alternative<table_changed>(event)) {
+        check_table(index);
+        return;
+    }
+    const auto* verdict = std::get_if<edit_verdict>(&event);
+    if (verdict == nullptr || !verdict->accepted() || !accepted_.try_emplace(verdict->at, time_.now()).second) {
+        return;
+    }
+    ++seen_.accepted;
+    time_.after(force_time, [this, index, at = verdict->at, since = time_.now()] { check_in_force(index, at, since); });
+}
+
+void node_world::check_version(const size_type index) {
+    auto& self = hosts_[index];
+    if (self.process == nullptr) {
+        return;
+    }
+    const auto version = self.process->follower().reducer().snapshot()->version();
+    checks_.check(invariant_id::version_monotonic, version >= self.version, name(index));
+    self.version = version;
+}
+
+void node_world::check_table(const size_type index) {
+    const auto snapshot = hosts_[index].process->follower().reducer().snapshot();
+    const auto* rows = platform_.rows_at(snapshot->version());
+    checks_.check(invariant_id::apply_atomic, rows != nullptr && snapshot->rows() == *rows,
+                  name(index) + " has a table that the log never led to");
+    snapshot->for_each_route([&](const route_state& state) {
+        const bool closed =
+            std::ranges::all_of(state.rows, [&](const table_row& row) { return row.values.service == state.service; });
+        checks_.check(invariant_id::references_closed, closed && !state.rows.empty(), name(index));
+    });
+}
+
+void node_world::check_attempt(const size_type from, const size_type to, const route_name& route,
+                               const upstream_version& version) {
+    auto& self = hosts_[from];
+    const auto snapshot = self.process->follower().reducer().snapshot();
+    const auto* record = self.process->members().find(hosts_[to].id);
+    const bool known = from == to || (record != nullptr && record->upstream && record->upstream->version == version);
+    checks_.check(invariant_id::references_closed, snapshot->find_row({route, version}) != nullptr && known,
+                  name(from) + " sends to node " + std::to_string(to));
+
+    const auto in_force = share_of(self.process->rollout().shares(route), version).value();
+    auto& use = self.shares[{route, version}];
+    if (in_force < fallback_share) {
+        ++use.used;
+        // One call by the picker's random phase, and one by the credit saved while the version was unusable.
+        checks_.check(invariant_id::candidate_share_bounded, use.used <= use.allowed + 2,
+                      name(from) + " " + route.value + " " + version.value + " " + std::to_string(use.used) + " of " +
+                          std::to_string(use.allowed));
+    } else {
+        use.allowed = std::max(use.allowed, use.used);
+    }
+    const auto service = snapshot->service(route);
+    if (version.value == "v2" && service && faults_[*service].bad()) {
+        ++seen_.bad_calls;
+        seen_.bad_calls_after_verdict += in_force == 0 ? 1U : 0U;
+    }
+
+    const auto& target = hosts_[to];
+    const bool told = target.closed && undisturbed(from, *target.closed) && undisturbed(to, *target.closed);
+    checks_.check(invariant_id::leaving_gets_no_work, !told || time_.now() <= *target.closed + leaving_time,
+                  name(from) + " sends to node " + std::to_string(to));
+}
+
+void node_world::check_in_force(const size_type decider, const log_offset accepted, const steady_time since) {
+    // If the only node that had read the record failed while the log was down, nobody else can know it.
+    const bool log_up = !platform_.down() && platform_.outage_changed() < since;
+    if (!log_up && !undisturbed(decider, since)) {
+        return;
+    }
+    for (size_type index = 0; index < size(); ++index) {
+        if (undisturbed(index, since)) {
+            checks_.check(invariant_id::accepted_in_force, hosts_[index].version >= accepted,
+                          name(index) + " has " + std::to_string(hosts_[index].version.value()) + ", accepted " +
+                              std::to_string(accepted.value()));
+        }
+    }
+}
+
+void node_world::on_result(const size_type number, const call_result& result) {
+    auto& record = calls_[number];
+    ++record.results;
+    if (const auto* answer = std::get_if<http_answer>(&result)) {
+        ++seen_.answered;
+        checks_.check(invariant_id::answer_matches_call, answer->body == std::to_string(number) && record.runs > 0,
+                      "call " + std::to_string(number) + " got " + answer->body);
+        return;
+    }
+    record.said_not_run = std::get<call_refusal>(result).state == run_state::not_run;
+    ++(record.said_not_run ? seen_.not_run : seen_.unknown);
+}
+
+void node_world::check_end() {
+    check_calls();
+    check_agreement();
+    check_moves();
+    // A handful of calls may be on their way when a verdict arrives; below 100 calls one per cent is less than one.
+    checks_.check(invariant_id::candidate_share_bounded,
+                  seen_.bad_calls_after_verdict <= std::max<size_type>(1, seen_.bad_calls / 100),
+                  std::to_string(seen_.bad_calls_after_verdict) + " of " + std::to_string(seen_.bad_calls) +
+                      " calls of bad versions after the verdict");
+    for (const auto& edit : edits_) {
+        const bool lived = hosts_[edit.host].life == edit.life && hosts_[edit.host].process != nullptr;
+        checks_.check("edit_answered_once", edit.decisions == 1 || (!lived && edit.decisions == 0),
+                      to_string(edit.id) + " at node " + std::to_string(edit.host));
+    }
+}
+
+void node_world::check_calls() {
+    for (size_type number = 0; number < calls_.size(); ++number) {
+        const auto& record = calls_[number];
+        const auto expected = record.cancelled || record.caller_lost ? 0U : 1U;
+        checks_.check("one_result_each", record.results == expected,
+                      "call " + std::to_string(number) + " got " + std::to_string(record.results));
+        checks_.check(invariant_id::refusal_truthful, !record.said_not_run || record.runs == 0,
+                      "call " + std::to_string(number));
+    }
+}
+
+void node_world::check_agreement() {
+    const auto rows = platform_.reference().snapshot()->rows();
+    auto moves = hosts_[0].process->rollout().moves();
+    std::ranges::sort(moves, precedes);
+    for (size_type index = 0; index < size(); ++index) {
+        const auto& process = *hosts_[index].process;
+        checks_.check("tables_agree", process.follower().reducer().snapshot()->rows() == rows, name(index));
+        auto own = process.rollout().moves();
+        std::ranges::sort(own, precedes);
+        checks_.check("moves_agree", own == moves, name(index));
+        for (const auto& other : hosts_) {
+            const auto* record = process.members().find(other.id);
+            checks_.check("members_agree",
+                          record != nullptr && record->status == member_status::alive && record->life == other.life &&
+                              record->upstream == other.upstream->info,
+                          name(index) + " about " + to_string(other.id));
+        }
+    }
+}
+
+void node_world::check_moves() {
+    for (const auto& move : hosts_[0].process->rollout().moves()) {
+        const auto service = platform_.reference().snapshot()->service(move.key.row.route);
+        const bool bad = move.key.row.version.value == "v2" && service && faults_[*service].bad();
+        seen_.taken_back += move.state.taken_back ? 1U : 0U;
+        seen_.good_taken_back += move.state.taken_back && !bad ? 1U : 0U;
+        seen_.done += move.state.done ? 1U : 0U;
+    }
+}
+
+void node_world::edit(const size_type index) {
+    const auto edit = random_edit(index);
+    const auto number = edits_.size();
+    edits_.push_back({.host = index, .life = hosts_[index].life, .id = edit.id});
+    ++seen_.edits;
+    at_node(index, {}, [this, edit, number](node& process) {
+        process.on_edit(
+            edit,
+            [this, number](const std::optional<edit_verdict>& verdict) {
+                auto& record = edits_[number];
+                ++record.decisions;
+                checks_.check("verdict_true", !verdict || platform_.reference().verdict(record.id) == verdict,
+                              to_string(record.id));
+            },
+            time_.sample());
+    });
+}
+
+table_edit node_world::random_edit(const size_type index) {
+    const auto snapshot = hosts_[index].process->follower().reducer().snapshot();
+    table_edit edit{.id = {.high = random_(), .low = random_()}, .created_at = time_.sample().wall, .changes = {}};
+    const auto& route = world_routes()[pick(world_routes().size())];
+    const auto weight = static_cast<std::uint32_t>(pick(3) * 50);
+    for (const std::string version : {"v1", "v2"}) {
+        const row_key key{route.name, {version}};
+        const auto* row = snapshot->find_row(key);
+        // The first edit of a route starts with the old version alone.
+        const auto new_weight = row == nullptr ? 0U : weight;
+        edit.changes.push_back({.key = key,
+                                .expected = row == nullptr ? log_offset{} : row->row_version,
+                                .values = row_values{.service = route.service,
+                                                     .weight = version == "v2" ? new_weight : 100 - new_weight,
+                                                     .deadline = edit.created_at + seconds{30 + pick(30)},
+                                                     .limits = {},
+                                                     .on_thin_evidence = thin_evidence_policy::proceed}});
+    }
+    if (pick(6) == 0) {
+        edit.changes.back().values->weight = 5'000; // Rejected as a whole.
+    }
+    return edit;
+}
+
+} // namespace goldcrestwell::test
