Ask a member that is not known for its record

Cause: a node that restarted during a cut sent its own record only while the cut swallowed it. Afterwards it knew everybody by its own exchanges, but nobody chose it as a peer, so nobody asked it, and its pings without a record were answered and forgotten. Ruled out: its record is right, its timers run, its pings arrive. Change: whoever gets a ping from a process that it does not know, and that does not introduce itself, sends it a join ping, whose ack carries the record. Conclusion: a node that takes part is known within one probe of each peer.

--- a/src/goldcrestwell/core/membership/membership_spread.cpp
+++ b/src/goldcrestwell/core/membership/membership_spread.cpp
@@ -28,6 +28,12 @@
 /** Transmissions beyond ln(n): exp(-3) nodes out of all are then expected to miss a fact. */
 constexpr double extra_transmissions = 3.0;
 
+bool introduces_sender(const datagram& message) {
+    return std::any_of(message.members.begin(), message.members.end(), [&message](const member& record) {
+        return record.id == message.sender && record.life == message.life;
+    });
+}
+
 } // namespace
 
 void membership_state::spread(const member& record, const bool urgent) {
@@ -232,8 +238,9 @@
         return;
     }
     const auto newcomer = known == nullptr || known->life < message.life;
-    // While a seed is too busy to answer, whoever has heard of this node from the seed can introduce it.
-    if (newcomer && peers_.empty() && message.sequence != join_sequence) {
+    // While a seed is too busy to answer, whoever has heard of this node from the seed can introduce it. A newcomer
+    // whose own record was lost, for example in a cut, is asked for it: nobody else would ever choose it as a peer.
+    if (newcomer && message.sequence != join_sequence && (peers_.empty() || !introduces_sender(message))) {
         send_join_ping(message.sender);
     }
     refuted_ = false;
