Add the load tool

Cause: nothing sent calls at a fixed rate, timed the answers or checked that each answer belongs to its request. Its loop uses libevent's precise timers, because the usual ones are up to some milliseconds late; the daemon's loop is unchanged. Conclusion: added time can be measured.

--- a/src/goldcrestwell/cli/command.hpp
+++ b/src/goldcrestwell/cli/command.hpp
@@ -15,6 +15,7 @@
 [[nodiscard]] exit_code run_table(std::span<char*> arguments);
 [[nodiscard]] exit_code run_status(std::span<char*> arguments);
 [[nodiscard]] exit_code run_check(std::span<char*> arguments);
+[[nodiscard]] exit_code run_load(std::span<char*> arguments);
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/cli/main.cpp
+++ b/src/goldcrestwell/cli/main.cpp
@@ -17,6 +17,7 @@
                                    "  table result ID          print the decision on an edit\n"
                                    "  status                   print a node's health, members and counters\n"
                                    "  check FILE               validate a settings file\n"
+                                   "  load --target A:P        send calls at a fixed rate, check and time the answers\n"
                                    "  version                  print the version\n"
                                    "\n"
                                    "'goldcrestwell COMMAND --help' lists the options of a command.\n";
@@ -36,6 +37,9 @@
     if (command == "check") {
         return run_check(arguments);
     }
+    if (command == "load") {
+        return run_load(arguments);
+    }
     if (command == "version" || command == "--version") {
         std::cout << "goldcrestwell " << program_version() << '\n';
         return exit_code::success;
--- a/src/goldcrestwell/shell/event_loop.cpp
+++ b/src/goldcrestwell/shell/event_loop.cpp
@@ -15,13 +15,21 @@
     (*task)();
 }
 
+event_base* new_base(const timer_precision precision) {
+    const std::unique_ptr<event_config, decltype(&event_config_free)> config{event_config_new(), &event_config_free};
+    if (config && precision == timer_precision::microseconds) {
+        event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+    }
+    return config ? event_base_new_with_config(config.get()) : nullptr;
+}
+
 } // namespace
 
 void event_loop::base_deleter::operator()(event_base* base) const noexcept {
     event_base_free(base);
 }
 
-event_loop::event_loop() : base_{event_base_new()} {
+event_loop::event_loop(const timer_precision precision) : base_{new_base(precision)} {
     if (!base_) {
         throw std::bad_alloc{};
     }
--- a/src/goldcrestwell/shell/event_loop.hpp
+++ b/src/goldcrestwell/shell/event_loop.hpp
@@ -3,6 +3,7 @@
 
 #include "goldcrestwell/core/common/time.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -10,10 +11,16 @@
 
 namespace goldcrestwell {
 
+/** @brief Resolution of the loop's timers. */
+enum class timer_precision : std::uint8_t {
+    milliseconds, /**< Timers expire up to some milliseconds late, for the fewest wake-ups and system calls. */
+    microseconds  /**< For measurements, whose calls must start at their planned time. */
+};
+
 /** @brief The only loop of the process; every socket, timer and signal is served by it. */
 class event_loop {
 public:
-    event_loop();
+    explicit event_loop(timer_precision precision = timer_precision::milliseconds);
 
     /** @return The libevent base, for objects of this module. */
     [[nodiscard]] event_base* base() const noexcept { return base_.get(); }
