Measure what a log record costs a whole node

Change: bench_node_edit_cost applies edits to a whole core node and prints the time of an edit and of a tick without and with 20 moves in progress.

--- /dev/null
+++ b/bench/node_edit_cost.cpp
@@ -0,0 +1,149 @@
+// Prints what one applied record costs a whole node, and one tick while moves are in progress, as the table grows.
+#include "goldcrestwell/core/node/node.hpp"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+using namespace goldcrestwell;
+using namespace std::chrono_literals;
+
+namespace {
+
+using microseconds = std::chrono::duration<double, std::micro>;
+
+constexpr std::array<std::uint64_t, 4> table_sizes{100, 1'000, 4'000, 16'000};
+constexpr std::uint64_t rows_per_route = 4;
+// Fewer than the 58 that 4,200 edits a day of 20 min each keep in progress, so that the smallest table has room.
+constexpr std::uint64_t moves = 20;
+constexpr int ticks = 200;
+
+class bench_node {
+public:
+    explicit bench_node(const std::uint64_t rows) : routes_{rows / rows_per_route}, core_{options()} {
+        core_.start(now_);
+        for (std::uint64_t route = 0; route < routes_; ++route) {
+            static_cast<void>(apply(edit(route, {100, 0, 0, 0}, log_offset{})));
+            versions_.push_back(position_);
+        }
+    }
+
+    /** @brief Moves the traffic of a route to its second version. */
+    [[nodiscard]] microseconds move(const std::uint64_t route) {
+        return apply(edit(route, {0, 100, 0, 0}, log_offset{versions_.at(route)}));
+    }
+
+    [[nodiscard]] microseconds tick() {
+        now_.steady += 1s;
+        now_.wall += 1s;
+        const auto start = std::chrono::steady_clock::now();
+        core_.on_timer(now_);
+        return std::chrono::steady_clock::now() - start;
+    }
+
+    [[nodiscard]] std::uint64_t accepted() const { return core_.follower().reducer().snapshot()->version().value(); }
+    [[nodiscard]] std::uint64_t position() const { return position_; }
+
+private:
+    static node_options options() {
+        node_options settings{.self = node_id{0x7F000001, 1}, .life = incarnation{1}, .data_centre = {"dc"}};
+        settings.region = {"region"};
+        auto& hooks = settings.hooks;
+        hooks.send_frame = [](node_id, const peer_message&) {
+        };
+        hooks.send_datagram = [](node_id, const datagram&) {
+        };
+        hooks.datagram_size = [](const datagram&) {
+            return std::size_t{100};
+        };
+        hooks.frame_size = [](const peer_message&) {
+            return std::size_t{100};
+        };
+        hooks.replace_connection = [](node_id) {
+        };
+        hooks.start_upstream = [](const attempt_id&, const call_request&, std::chrono::milliseconds) {
+        };
+        hooks.abort_upstream = [](const attempt_id&) {
+        };
+        hooks.read_log = [](log_offset, std::chrono::milliseconds) {
+        };
+        hooks.append_record = [](const log_record&) {
+        };
+        hooks.wake_at = [](steady_time) {
+        };
+        hooks.event = [](const node_event&) {
+        };
+        hooks.invariant_violated = [](invariant_id) {
+        };
+        return settings;
+    }
+
+    table_edit edit(const std::uint64_t route, const std::array<std::uint32_t, rows_per_route>& weights,
+                    const log_offset expected) const {
+        const auto name = std::to_string(route);
+        table_edit made{.id = {.high = 1, .low = position_ + 1}, .created_at = now_.wall};
+        for (std::size_t row = 0; row < weights.size(); ++row) {
+            made.changes.push_back({.key = {.route = {"/region/service-" + name + "/orders"},
+                                            .version = {"2026.12." + std::to_string(row)}},
+                                    .expected = expected,
+                                    .values = row_values{.service = {"service-" + name}, .weight = weights.at(row)}});
+        }
+        return made;
+    }
+
+    microseconds apply(table_edit made) {
+        const log_offset before{position_};
+        const log_offset at{++position_};
+        const record_batch batch{.after = before,
+                                 .records = {{.offset = at, .record = std::move(made)}},
+                                 .through = at,
+                                 .head = at,
+                                 .first_retained = log_offset{1}};
+        now_.steady += 1ms;
+        now_.wall += 1ms;
+        const auto start = std::chrono::steady_clock::now();
+        core_.on_log_batch(batch, now_);
+        return std::chrono::steady_clock::now() - start;
+    }
+
+    time_sample now_{.steady = steady_time{1h}, .wall = wall_time{std::chrono::hours{24 * 365 * 56}}};
+    std::uint64_t routes_;
+    std::uint64_t position_{};
+    std::vector<std::uint64_t> versions_;
+    node core_;
+};
+
+void measure(const std::uint64_t rows) {
+    bench_node node{rows};
+    microseconds quiet{};
+    for (int count = 0; count < ticks; ++count) {
+        quiet += node.tick();
+    }
+    microseconds edits{};
+    for (std::uint64_t route = 0; route < moves; ++route) {
+        edits += node.move(route);
+    }
+    microseconds busy{};
+    for (int count = 0; count < ticks; ++count) {
+        busy += node.tick();
+    }
+    std::printf("%9llu %18.1f %22.1f %22.1f %10s\n", static_cast<unsigned long long>(rows), edits.count() / moves,
+                quiet.count() / ticks, busy.count() / ticks, node.accepted() == node.position() ? "all" : "not all");
+}
+
+} // namespace
+
+int main(const int argc, const char* const* argv) {
+    double load_average = 0;
+    static_cast<void>(getloadavg(&load_average, 1));
+    std::printf("# load average %.1f, revision %s\n", load_average, argc > 1 ? argv[1] : "unknown");
+    std::printf("%9s %18s %22s %22s %10s\n", "rows", "applied edit [us]", "tick, no moves [us]", "tick, 20 moves [us]",
+                "accepted");
+    for (const auto rows : table_sizes) {
+        measure(rows);
+    }
+    return 0;
+}
