Keep a connection of the load tool busy until its result was reported

Cause: a connection is idle before its deferred result hook runs, so a due call could take it and a waiting call could then be sent over that one, which was lost; the tool never ended. Seen at 4,000 calls/s over 64 connections. Change: each connection has a busy mark that ends with the hook.

--- a/src/goldcrestwell/cli/load_run.cpp
+++ b/src/goldcrestwell/cli/load_run.cpp
@@ -23,7 +23,7 @@
       body_(options_.body_bytes, 'x') {
     for (const auto& address : options_.targets) {
         auto& added = targets_.emplace_back(target{.address = address});
-        added.connections.resize(options_.connections);
+        added.slots.resize(options_.connections);
     }
 }
 
@@ -53,8 +53,8 @@
 }
 
 void load_run::place(target& to, const planned_call& call) {
-    for (std::size_t index = 0; index < to.connections.size(); ++index) {
-        if (to.connections[index] == nullptr || to.connections[index]->idle()) {
+    for (std::size_t index = 0; index < to.slots.size(); ++index) {
+        if (!to.slots[index].busy) {
             send(to, index, call);
             return;
         }
@@ -63,7 +63,8 @@
 }
 
 void load_run::send(target& to, const std::size_t place, const planned_call& call) {
-    auto& connection = to.connections[place];
+    auto& [connection, busy] = to.slots[place];
+    busy = true;
     if (connection == nullptr) {
         connection = std::make_unique<http_connection>(loop_, to.address, max_body_bytes);
     }
@@ -79,8 +80,10 @@
 void load_run::on_result(target& from, const std::size_t place, const planned_call& call,
                          const upstream_result& result) {
     finish(call, result, loop_.now().steady);
-    if (from.connections[place]->broken()) {
-        from.connections[place].reset();
+    auto& [connection, busy] = from.slots[place];
+    busy = false;
+    if (connection->broken()) {
+        connection.reset();
     }
     start_waiting(from, place);
     stop_if_finished();
--- a/src/goldcrestwell/cli/load_run.hpp
+++ b/src/goldcrestwell/cli/load_run.hpp
@@ -35,9 +35,15 @@
         steady_time planned;
     };
 
+    struct slot {
+        std::unique_ptr<http_connection> connection;
+        /** Until the result was reported; the connection itself is idle a moment earlier. */
+        bool busy{};
+    };
+
     struct target {
         endpoint address;
-        std::vector<std::unique_ptr<http_connection>> connections;
+        std::vector<slot> slots;
         std::deque<planned_call> waiting;
     };
 
