Visit only routes with a move in progress in a rollout tick

Change: the engine keeps the set of routes with an unfinished move or a state that is not recorded. It is refreshed for the route of each merged state and rebuilt with the plans. Order of decisions and random draws are unchanged.

--- a/src/goldcrestwell/core/rollout/rollout_decide.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_decide.cpp
@@ -130,11 +130,7 @@
 }
 
 void rollout_engine::append_facts(const route_plan& plan, const time_sample now) {
-    const auto unrecorded = [this](const table_row& row) {
-        const auto* move = find(row);
-        return move != nullptr && !covers(move->recorded, move->state);
-    };
-    if (std::none_of(plan.rows.begin(), plan.rows.end(), unrecorded)) {
+    if (!unrecorded(plan)) {
         return;
     }
     const auto order = ranking(plan);
@@ -143,9 +139,10 @@
         return;
     }
     for (const auto& row : plan.rows) {
-        if (unrecorded(row)) {
-            const move_key key{.row = row.key, .row_version = row.row_version};
-            append(key, moves_.at(key), rank, now);
+        const move_key key{.row = row.key, .row_version = row.row_version};
+        auto& move = moves_.at(key);
+        if (!covers(move.recorded, move.state)) {
+            append(key, move, rank, now);
         }
     }
 }
--- a/src/goldcrestwell/core/rollout/rollout_engine.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine.cpp
@@ -52,6 +52,10 @@
             recorded = join(recorded, fact.state);
         }
     }
+    active_.clear();
+    for (const auto& [route, plan] : plans_) {
+        refresh_active(route);
+    }
     arm(now);
 }
 
@@ -109,9 +113,12 @@
     }
     next_tick_ = now.steady + options_.tick;
     send_windows(now);
-    for (const auto& [route, plan] : plans_) {
+    // A copy, because a decision can change the set.
+    for (const auto& route : std::vector<route_name>{active_.begin(), active_.end()}) {
+        const auto& plan = plans_.at(route);
         decide_route(plan, now);
         append_facts(plan, now);
+        refresh_active(route);
     }
     arm(now);
 }
@@ -172,6 +179,13 @@
     });
 }
 
+bool rollout_engine::unrecorded(const route_plan& plan) const {
+    return std::any_of(plan.rows.begin(), plan.rows.end(), [this](const table_row& row) {
+        const auto* move = find(row);
+        return move != nullptr && !covers(move->recorded, move->state);
+    });
+}
+
 std::vector<node_id> rollout_engine::ranking(const route_plan& plan) const {
     return rendezvous_order(stable_hash(plan.route.value), options_.service_nodes(plan.service));
 }
@@ -208,6 +222,7 @@
     move.ready_since.reset();
     move.append_at.reset();
     move.blocked = row_reason::awaiting_proposer;
+    refresh_active(key.row.route);
     return true;
 }
 
@@ -240,16 +255,17 @@
     }
 }
 
+void rollout_engine::refresh_active(const route_name& route) {
+    const auto* plan = find_plan(route);
+    if (plan != nullptr && (unfinished(*plan) || unrecorded(*plan))) {
+        active_.insert(route);
+    } else {
+        active_.erase(route);
+    }
+}
+
 void rollout_engine::arm(const time_sample now) {
-    const auto pending = [this](const auto& entry) {
-        const auto& [key, move] = entry;
-        return in_table(key) && !covers(move.recorded, move.state);
-    };
-    const auto active = [this](const auto& entry) {
-        return unfinished(entry.second);
-    };
-    if (collector_.empty() && std::none_of(plans_.begin(), plans_.end(), active) &&
-        std::none_of(moves_.begin(), moves_.end(), pending)) {
+    if (collector_.empty() && active_.empty()) {
         next_tick_.reset();
     } else if (!next_tick_) {
         // A random phase keeps the reports of many nodes from arriving together.
--- a/src/goldcrestwell/core/rollout/rollout_engine.hpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine.hpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace goldcrestwell {
@@ -54,6 +55,8 @@
     [[nodiscard]] const route_plan* find_plan(const route_name& route) const;
     [[nodiscard]] bool in_table(const move_key& key) const;
     [[nodiscard]] bool unfinished(const route_plan& plan) const;
+    /** @return True if a row's state goes beyond what the log has recorded. */
+    [[nodiscard]] bool unrecorded(const route_plan& plan) const;
     [[nodiscard]] std::vector<node_id> ranking(const route_plan& plan) const;
     [[nodiscard]] bool old_version_alive(const route_plan& plan) const;
     [[nodiscard]] bool bounded(const route_plan& plan, const std::vector<version_share>& shares) const;
@@ -74,11 +77,14 @@
     void raise_when_ready(const move_key& key, size_type rank, time_sample now);
     void append_facts(const route_plan& plan, time_sample now);
     void append(const move_key& key, internal::move_record& move, size_type rank, time_sample now);
+    void refresh_active(const route_name& route);
     void arm(time_sample now);
 
     rollout_engine_options options_;
     std::mt19937_64 random_;
     std::map<route_name, route_plan> plans_;
+    /** @brief Routes with a move in progress or a state to record; ticks visit these only. */
+    std::set<route_name> active_;
     move_map moves_;
     log_offset position_;
     evidence_collector collector_;
