Give the rollout engine only the routes that a record changed

States that arrive before their row are kept in a set of their own, so that they are still dropped in time. Conclusion: an edit costs what it changes, plus a walk over the routes by address.

--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -3,6 +3,7 @@
 #include "goldcrestwell/core/node/node.hpp"
 #include "goldcrestwell/core/node/rollout_plans.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace goldcrestwell {
@@ -85,9 +86,16 @@
 }
 
 void node::on_snapshot(const std::shared_ptr<const table_snapshot>& snapshot) {
+    const auto changes = to_rollout_changes(snapshot_.get(), *snapshot, follower_.position());
+    const auto moved_service = [this](const route_plan& plan) {
+        const auto* entry = routes_.find(plan.route.value);
+        return entry == nullptr || entry->route != plan.route || entry->service != plan.service;
+    };
+    if (!changes.removed.empty() || std::any_of(changes.plans.begin(), changes.plans.end(), moved_service)) {
+        routes_ = to_route_table(*snapshot);
+    }
     snapshot_ = snapshot;
-    routes_ = to_route_table(*snapshot);
-    rollout_.on_plans(to_rollout_input(*snapshot, follower_.position()), now_);
+    rollout_.on_changes(changes, now_);
     options_.hooks.event(table_changed{.version = snapshot->version(), .rows = snapshot->row_count()});
 }
 
--- a/src/goldcrestwell/core/rollout/rollout_engine.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine.cpp
@@ -7,6 +7,7 @@
 #include "goldcrestwell/core/rollout/stage.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace goldcrestwell {
@@ -31,39 +32,85 @@
 }
 
 void rollout_engine::on_plans(const rollout_input& input, const time_sample now) {
-    position_ = std::max(position_, input.position);
-    plans_.clear();
+    rollout_changes changes{.position = input.position, .plans = input.plans, .recorded = input.recorded};
+    std::set<route_name> kept;
     for (const auto& plan : input.plans) {
-        plans_.insert_or_assign(plan.route, plan);
-        for (const auto& row : plan.rows) {
-            const auto [entry, created] = moves_.try_emplace({.row = row.key, .row_version = row.row_version});
-            if (created) {
-                entry->second.stage_since = now;
-            }
+        kept.insert(plan.route);
+    }
+    for (const auto& [route, plan] : plans_) {
+        if (!kept.contains(route)) {
+            changes.removed.push_back(route);
         }
     }
-    std::erase_if(moves_,
-                  [this](const auto& entry) { return !in_table(entry.first) && entry.first.row_version <= position_; });
-    collector_.retain([this](const row_key& row) { return find_plan(row.route) != nullptr; });
-    for (const auto& fact : input.recorded) {
+    on_changes(changes, now);
+}
+
+void rollout_engine::on_changes(const rollout_changes& changes, const time_sample now) {
+    position_ = std::max(position_, changes.position);
+    for (const auto& route : changes.removed) {
+        plans_.erase(route);
+        drop_outdated(route);
+        refresh_active(route);
+    }
+    if (!changes.removed.empty()) {
+        collector_.retain([this](const row_key& row) { return find_plan(row.route) != nullptr; });
+    }
+    for (const auto& plan : changes.plans) {
+        replace_plan(plan, now);
+    }
+    drop_outdated_early();
+    for (const auto& fact : changes.recorded) {
         if (in_table(fact.key)) {
             merge(fact.key, fact.state, now);
             auto& recorded = moves_.at(fact.key).recorded;
             recorded = join(recorded, fact.state);
         }
     }
-    active_.clear();
-    for (const auto& [route, plan] : plans_) {
-        refresh_active(route);
+    for (const auto& plan : changes.plans) {
+        refresh_active(plan.route);
     }
     arm(now);
 }
 
+void rollout_engine::replace_plan(const route_plan& plan, const time_sample now) {
+    plans_.insert_or_assign(plan.route, plan);
+    for (const auto& row : plan.rows) {
+        const auto [entry, created] = moves_.try_emplace({.row = row.key, .row_version = row.row_version});
+        if (created) {
+            entry->second.stage_since = now;
+        }
+    }
+    drop_outdated(plan.route);
+}
+
+void rollout_engine::drop_outdated(const route_name& route) {
+    auto entry = moves_.lower_bound({.row = {.route = route, .version = {}}, .row_version = {}});
+    while (entry != moves_.end() && entry->first.row.route == route) {
+        entry = outdated(entry->first) ? moves_.erase(entry) : std::next(entry);
+    }
+}
+
+void rollout_engine::drop_outdated_early() {
+    std::erase_if(early_, [this](const move_key& key) {
+        const bool drop = outdated(key);
+        if (drop) {
+            moves_.erase(key);
+        }
+        return drop || in_table(key);
+    });
+}
+
+bool rollout_engine::outdated(const move_key& key) const {
+    return key.row_version <= position_ && !in_table(key);
+}
+
 void rollout_engine::on_update(const move_update& update, const time_sample now) {
-    const bool outdated = !in_table(update.key) && update.key.row_version <= position_;
-    if (outdated || update.state.stage > last_stage) {
+    if (outdated(update.key) || update.state.stage > last_stage) {
         return;
     }
+    if (!in_table(update.key)) {
+        early_.insert(update.key);
+    }
     if (merge(update.key, update.state, now)) {
         options_.broadcast({.key = update.key, .state = moves_.at(update.key).state});
         arm(now);
--- a/src/goldcrestwell/core/rollout/rollout_engine.hpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine.hpp
@@ -9,6 +9,7 @@
 #include "goldcrestwell/core/message/version_share.hpp"
 #include "goldcrestwell/core/rollout/evidence_collector.hpp"
 #include "goldcrestwell/core/rollout/move_record.hpp"
+#include "goldcrestwell/core/rollout/rollout_changes.hpp"
 #include "goldcrestwell/core/rollout/rollout_engine_options.hpp"
 #include "goldcrestwell/core/rollout/rollout_input.hpp"
 #include "goldcrestwell/core/rollout/row_status.hpp"
@@ -31,6 +32,8 @@
 
     /** @brief A new table snapshot is in force. */
     void on_plans(const rollout_input& input, time_sample now);
+    /** @brief Like `on_plans`, for a snapshot given by its differences from the one before it. */
+    void on_changes(const rollout_changes& changes, time_sample now);
     /** @brief A state arrived from another node; a state that brings news is broadcast again. */
     void on_update(const move_update& update, time_sample now);
     void on_evidence(const evidence_report& report, time_sample now);
@@ -77,6 +80,11 @@
     void raise_when_ready(const move_key& key, size_type rank, time_sample now);
     void append_facts(const route_plan& plan, time_sample now);
     void append(const move_key& key, internal::move_record& move, size_type rank, time_sample now);
+    void replace_plan(const route_plan& plan, time_sample now);
+    /** @brief Drops states of a route's rows that the table does not have. */
+    void drop_outdated(const route_name& route);
+    void drop_outdated_early();
+    [[nodiscard]] bool outdated(const move_key& key) const;
     void refresh_active(const route_name& route);
     void arm(time_sample now);
 
@@ -85,6 +93,8 @@
     std::map<route_name, route_plan> plans_;
     /** @brief Routes with a move in progress or a state to record; ticks visit these only. */
     std::set<route_name> active_;
+    /** @brief States that arrived before the table had their rows. */
+    std::set<move_key> early_;
     move_map moves_;
     log_offset position_;
     evidence_collector collector_;
