--- a/src/goldcrestwell/core/rollout/rollout_engine.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine.cpp
@@ -7,6 +7,7 @@
 #include "goldcrestwell/core/rollout/stage.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace goldcrestwell {
@@ -31,35 +32,85 @@
 }
 
 void rollout_engine::on_plans(const rollout_input& input, const time_sample now) {
-    position_ = std::max(position_, input.position);
-    plans_.clear();
+    rollout_changes changes{.position = input.position, .plans = input.plans, .recorded = input.recorded};
+    std::set<route_name> kept;
     for (const auto& plan : input.plans) {
-        plans_.insert_or_assign(plan.route, plan);
-        for (const auto& row : plan.rows) {
-            const auto [entry, created] = moves_.try_emplace({.row = row.key, .row_version = row.row_version});
-            if (created) {
-                entry->second.stage_since = now;
-            }
+        kept.insert(plan.route);
+    }
+    for (const auto& [route, plan] : plans_) {
+        if (!kept.contains(route)) {
+            changes.removed.push_back(route);
         }
     }
-    std::erase_if(moves_,
-                  [this](const auto& entry) { return !in_table(entry.first) && entry.first.row_version <= position_; });
-    collector_.retain([this](const row_key& row) { return find_plan(row.route) != nullptr; });
-    for (const auto& fact : input.recorded) {
+    on_changes(changes, now);
+}
+
+void rollout_engine::on_changes(const rollout_changes& changes, const time_sample now) {
+    position_ = std::max(position_, changes.position);
+    for (const auto& route : changes.removed) {
+        plans_.erase(route);
+        drop_outdated(route);
+        refresh_active(route);
+    }
+    if (!changes.removed.empty()) {
+        collector_.retain([this](const row_key& row) { return find_plan(row.route) != nullptr; });
+    }
+    for (const auto& plan : changes.plans) {
+        replace_plan(plan, now);
+    }
+    drop_outdated_early();
+    for (const auto& fact : changes.recorded) {
         if (in_table(fact.key)) {
             merge(fact.key, fact.state, now);
             auto& recorded = moves_.at(fact.key).recorded;
             recorded = join(recorded, fact.state);
         }
     }
+    for (const auto& plan : changes.plans) {
+        refresh_active(plan.route);
+    }
     arm(now);
 }
 
+void rollout_engine::replace_plan(const route_plan& plan, const time_sample now) {
+    plans_.insert_or_assign(plan.route, plan);
+    for (const auto& row : plan.rows) {
+        const auto [entry, created] = moves_.try_emplace({.row = row.key, .row_version = row.row_version});
+        if (created) {
+            entry->second.stage_since = now;
+        }
+    }
+    drop_outdated(plan.route);
+}
+
+void rollout_engine::drop_outdated(const route_name& route) {
+    auto entry = moves_.lower_bound({.row = {.route = route, .version = {}}, .row_version = {}});
+    while (entry != moves_.end() && entry->first.row.route == route) {
+        entry = outdated(entry->first) ? moves_.erase(entry) : std::next(entry);
+    }
+}
+
+void rollout_engine::drop_outdated_early() {
+    std::erase_if(early_, [this](const move_key& key) {
+        const bool drop = outdated(key);
+        if (drop) {
+            moves_.erase(key);
+        }
+        return drop || in_table(key);
+    });
+}
+
+bool rollout_engine::outdated(const move_key& key) const {
+    return key.row_version <= position_ && !in_table(key);
+}
+
 void rollout_engine::on_update(const move_update& update, const time_sample now) {
-    const bool outdated = !in_table(update.key) && update.key.row_version <= position_;
-    if (outdated || update.state.stage > last_stage) {
+    if (outdated(update.key) || update.state.stage > last_stage) {
         return;
     }
+    if (!in_table(update.key)) {
+        early_.insert(update.key);
+    }
     if (merge(update.key, update.state, now)) {
         options_.broadcast({.key = update.key, .state = moves_.at(update.key).state});
         arm(now);
@@ -109,9 +160,12 @@
     }
     next_tick_ = now.steady + options_.tick;
     send_windows(now);
-    for (const auto& [route, plan] : plans_) {
+    // A copy, because a decision can change the set.
+    for (const auto& route : std::vector<route_name>{active_.begin(), active_.end()}) {
+        const auto& plan = plans_.at(route);
         decide_route(plan, now);
         append_facts(plan, now);
+        refresh_active(route);
     }
     arm(now);
 }
@@ -172,6 +226,13 @@
     });
 }
 
+bool rollout_engine::unrecorded(const route_plan& plan) const {
+    return std::any_of(plan.rows.begin(), plan.rows.end(), [this](const table_row& row) {
+        const auto* move = find(row);
+        return move != nullptr && !covers(move->recorded, move->state);
+    });
+}
+
 std::vector<node_id> rollout_engine::ranking(const route_plan& plan) const {
     return rendezvous_order(stable_hash(plan.route.value), options_.service_nodes(plan.service));
 }
@@ -208,6 +269,7 @@
     move.ready_since.reset();
     move.append_at.reset();
     move.blocked = row_reason::awaiting_proposer;
+    refresh_active(key.row.route);
     return true;
 }
 
@@ -240,16 +302,17 @@
     }
 }
 
+void rollout_engine::refresh_active(const route_name& route) {
+    const auto* plan = find_plan(route);
+    if (plan != nullptr && (unfinished(*plan) || unrecorded(*plan))) {
+        active_.insert(route);
+    } else {
+        active_.erase(route);
+    }
+}
+
 void rollout_engine::arm(const time_sample now) {
-    const auto pending = [this](const auto& entry) {
-        const auto& [key, move] = entry;
-        return in_table(key) && !covers(move.recorded, move.state);
-    };
-    const auto active = [this](const auto& entry) {
-        return unfinished(entry.second);
-    };
-    if (collector_.empty() && std::none_of(plans_.begin(), plans_.end(), active) &&
-        std::none_of(moves_.begin(), moves_.end(), pending)) {
+    if (collector_.empty() && active_.empty()) {
         next_tick_.reset();
     } else if (!next_tick_) {
         // A random phase keeps the reports of many nodes from arriving together.
