--- a/src/goldcrestwell/shell/event_loop.cpp
+++ b/src/goldcrestwell/shell/event_loop.cpp
@@ -17,10 +17,6 @@
 
 event_base* new_base(const timer_precision precision) {
     const std::unique_ptr<event_config, decltype(&event_config_free)> config{event_config_new(), &event_config_free};
-    if (config) {
-        // Changes of a descriptor's events between two waits become one system call; needs descriptors without copies.
-        event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
-    }
     if (config && precision == timer_precision::microseconds) {
         event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
     }
