Join states of moves by one function

Cause: rollout, config and membership each had their own copy of the merge of two move states, so a new field could be joined in one place and lost in another. Conclusion: a new field of move_state needs one join.

--- a/src/goldcrestwell/core/config/route_change.cpp
+++ b/src/goldcrestwell/core/config/route_change.cpp
@@ -93,11 +93,4 @@
     });
 }
 
-move_state merged(const move_state& left, const move_state& right) noexcept {
-    return {.stage = std::max(left.stage, right.stage),
-            .done = left.done || right.done,
-            .taken_back = left.taken_back || right.taken_back,
-            .reason = std::max(left.reason, right.reason)};
-}
-
 } // namespace goldcrestwell::internal
--- a/src/goldcrestwell/core/config/route_change.hpp
+++ b/src/goldcrestwell/core/config/route_change.hpp
@@ -27,9 +27,6 @@
 /** @return True if every version whose target is above its base is recorded as done and was not taken back. */
 [[nodiscard]] bool move_finished(const route_state& state);
 
-/** @return The state that holds whatever either state reached. */
-[[nodiscard]] move_state merged(const move_state& left, const move_state& right) noexcept;
-
 } // namespace goldcrestwell::internal
 
 #endif
--- a/src/goldcrestwell/core/config/table_reducer.cpp
+++ b/src/goldcrestwell/core/config/table_reducer.cpp
@@ -3,6 +3,7 @@
 #include "goldcrestwell/core/config/checkpoint_loader.hpp"
 #include "goldcrestwell/core/config/checkpoint_writer.hpp"
 #include "goldcrestwell/core/config/state_digest.hpp"
+#include "goldcrestwell/core/message/join.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -103,7 +104,7 @@
     if (place == next.facts.end() || place->key != fact.key) {
         next.facts.insert(place, fact);
     } else {
-        place->state = internal::merged(place->state, fact.state);
+        place->state = join(place->state, fact.state);
     }
     if (next == *state) {
         last_reason_ = reducer_reason::fact_known;
--- a/src/goldcrestwell/core/membership/move_cache.cpp
+++ b/src/goldcrestwell/core/membership/move_cache.cpp
@@ -1,20 +1,9 @@
 #include "goldcrestwell/core/membership/move_cache.hpp"
 
-#include <algorithm>
+#include "goldcrestwell/core/message/join.hpp"
 
 namespace goldcrestwell {
 
-namespace {
-
-move_state joined(const move_state& left, const move_state& right) {
-    return {.stage = std::max(left.stage, right.stage),
-            .done = left.done || right.done,
-            .taken_back = left.taken_back || right.taken_back,
-            .reason = std::max(left.reason, right.reason)};
-}
-
-} // namespace
-
 bool move_cache::merge(const move_update& update) {
     const auto known = states_.find(update.key.row);
     if (known == states_.end()) {
@@ -28,7 +17,7 @@
         known->second = update;
         return true;
     }
-    const auto state = joined(known->second.state, update.state);
+    const auto state = join(known->second.state, update.state);
     if (state == known->second.state) {
         return false;
     }
--- a/src/goldcrestwell/core/rollout/join.cpp
+++ b/src/goldcrestwell/core/message/join.cpp
@@ -1,4 +1,4 @@
-#include "goldcrestwell/core/rollout/join.hpp"
+#include "goldcrestwell/core/message/join.hpp"
 
 #include <algorithm>
 
--- a/src/goldcrestwell/core/rollout/rollout_decide.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_decide.cpp
@@ -1,4 +1,4 @@
-#include "goldcrestwell/core/rollout/join.hpp"
+#include "goldcrestwell/core/message/join.hpp"
 #include "goldcrestwell/core/rollout/rollout_engine.hpp"
 #include "goldcrestwell/core/rollout/route_shares.hpp"
 #include "goldcrestwell/core/rollout/schedule.hpp"
--- a/src/goldcrestwell/core/rollout/rollout_engine.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine.cpp
@@ -1,7 +1,7 @@
 #include "goldcrestwell/core/rollout/rollout_engine.hpp"
 
 #include "goldcrestwell/core/common/rendezvous.hpp"
-#include "goldcrestwell/core/rollout/join.hpp"
+#include "goldcrestwell/core/message/join.hpp"
 #include "goldcrestwell/core/rollout/mixture_test.hpp"
 #include "goldcrestwell/core/rollout/route_shares.hpp"
 #include "goldcrestwell/core/rollout/stage.hpp"
--- a/test/core/rollout/history_network.cpp
+++ b/test/core/rollout/history_network.cpp
@@ -1,7 +1,7 @@
 #include "core/rollout/history_network.hpp"
 
 #include "core/rollout/engine_fixture.hpp"
-#include "goldcrestwell/core/rollout/join.hpp"
+#include "goldcrestwell/core/message/join.hpp"
 
 #include <algorithm>
 
