Recheck a version with all traffic before it is taken back

Change: move_state gets a monotone counter of rechecks. A node that learns a higher count gives the old version a part of its traffic back for a fixed time. At the last stage only calls of the same time take a version back; its history decides only without an old upstream, with too few calls or after the last recheck. The bench compares this with history only and with a share kept on the old version during the bake time.

--- a/bench/rollout_verdicts.cpp
+++ b/bench/rollout_verdicts.cpp
@@ -1,4 +1,5 @@
-// Compares the sequential tests of the rollout engine over seeded versions with known faults.
+// Compares the sequential tests of the rollout engine, and its ways to judge a version that has all traffic, over
+// seeded versions with known faults.
 //
 // Usage: bench_rollout_verdicts [FIRST_SEED LAST_SEED [REVISION]]
 //
@@ -67,6 +68,15 @@
     std::uint64_t bad_calls{};
 };
 
+/** A test and what happens while the candidate has all traffic. */
+struct variant {
+    std::string name;
+    sequential_test test;
+    std::uint8_t maximum_rechecks{};
+    share recheck_share;
+    share kept_share;
+};
+
 double none(const moment&) {
     return 0.0;
 }
@@ -135,8 +145,8 @@
 /** One move of one route, decided by one engine. */
 class simulation {
 public:
-    simulation(const profile& users, const fault& cause, const sequential_test& test, const std::uint64_t seed)
-        : users_{users}, cause_{cause}, random_{seed}, engine_{options(test, seed)} {}
+    simulation(const profile& users, const fault& cause, const variant& judge, const std::uint64_t seed)
+        : users_{users}, cause_{cause}, random_{seed}, engine_{options(judge, seed)} {}
 
     result run() {
         engine_.on_plans({.position = log_offset{1}, .plans = {plan()}, .recorded = {}}, now());
@@ -148,10 +158,13 @@
     }
 
 private:
-    rollout_engine_options options(const sequential_test& test, const std::uint64_t seed) {
+    rollout_engine_options options(const variant& judge, const std::uint64_t seed) {
         return {.self = node_id{1},
                 .seed = seed,
-                .test = test,
+                .maximum_rechecks = judge.maximum_rechecks,
+                .recheck_share = judge.recheck_share,
+                .kept_share = judge.kept_share,
+                .test = judge.test,
                 .broadcast = [this](const move_update& update) { on_state(update.state); },
                 .send_evidence = [](node_id, const evidence_report&) {},
                 .append_fact = [](const rollout_fact&) {},
@@ -257,11 +270,11 @@
     int good_cases{};
 };
 
-summary measure(const profile& users, const fault& cause, const sequential_test& test, const std::uint64_t first,
+summary measure(const profile& users, const fault& cause, const variant& judge, const std::uint64_t first,
                 const std::uint64_t last) {
     summary sum;
     for (auto seed = first; seed <= last; ++seed) {
-        const auto one = simulation{users, cause, test, seed}.run();
+        const auto one = simulation{users, cause, judge, seed}.run();
         ++sum.runs;
         sum.taken_back += one.taken_back ? 1 : 0;
         sum.in_time += one.in_time && !one.taken_back ? 1 : 0;
@@ -285,21 +298,20 @@
     total.false_take_backs += percent(sum.taken_back, sum.runs);
 }
 
-void print_profile(const profile& users, const std::string& name, const sequential_test& test,
-                   const std::uint64_t first, const std::uint64_t last) {
+void print_profile(const profile& users, const variant& judge, const std::uint64_t first, const std::uint64_t last) {
     score total;
     for (const auto& cause : faults()) {
-        const auto sum = measure(users, cause, test, first, last);
+        const auto sum = measure(users, cause, judge, first, last);
         add(total, cause, sum);
-        std::printf("%-12s %-18s %-26s %10.1f %10.1f %12.1f\n", users.name.c_str(), name.c_str(), cause.name.c_str(),
-                    percent(sum.taken_back, sum.runs), percent(sum.in_time, sum.runs),
+        std::printf("%-12s %-18s %-26s %10.1f %10.1f %12.1f\n", users.name.c_str(), judge.name.c_str(),
+                    cause.name.c_str(), percent(sum.taken_back, sum.runs), percent(sum.in_time, sum.runs),
                     static_cast<double>(sum.bad_calls) / sum.runs);
     }
     const auto bad = total.bad_taken_back / total.bad_cases;
     const auto good = total.good_in_time / total.good_cases;
     std::printf("%-12s %-18s TOTAL bad taken back %.1f %%, good in time %.1f %%, false take-backs %.1f %%, "
                 "weighed score %.1f\n",
-                users.name.c_str(), name.c_str(), bad, good, total.false_take_backs / total.good_cases,
+                users.name.c_str(), judge.name.c_str(), bad, good, total.false_take_backs / total.good_cases,
                 users.timely_weight * good + (1.0 - users.timely_weight) * bad);
 }
 
@@ -319,15 +331,24 @@
         {"print works", 40.0, 0.002, 300s, thin_evidence_policy::proceed, 0.7},
         {"association", 10.0, 0.005, 600s, thin_evidence_policy::hold, 0.3},
     };
-    const std::vector<std::pair<std::string, sequential_test>> tests{
-        {"mixture 0.01", make_mixture_test(0.01)},         {"mixture 0.001", make_mixture_test(0.001)},
-        {"mixture 0.0001", make_mixture_test(0.0001)},     {"spending 0.001", make_spending_test(0.001)},
-        {"spending 0.01", make_spending_test(0.01)},       {"posterior 0.999", make_posterior_test(0.999)},
-        {"posterior 0.9999", make_posterior_test(0.9999)},
+    const auto mixture = make_mixture_test(0.01);
+    const std::vector<variant> variants{
+        {"history only", mixture, 0, {}, {}},
+        {"recheck 10 %", mixture, 255, share{100'000}, {}},
+        {"recheck 20 %", mixture, 255, share{200'000}, {}},
+        {"recheck 50 %", mixture, 255, share{500'000}, {}},
+        {"kept 1 %", mixture, 0, {}, share{10'000}},
+        {"kept 5 %", mixture, 0, {}, share{50'000}},
+        {"mixture 0.001", make_mixture_test(0.001), 0, {}, {}},
+        {"mixture 0.0001", make_mixture_test(0.0001), 0, {}, {}},
+        {"spending 0.001", make_spending_test(0.001), 0, {}, {}},
+        {"spending 0.01", make_spending_test(0.01), 0, {}, {}},
+        {"posterior 0.999", make_posterior_test(0.999), 0, {}, {}},
+        {"posterior 0.9999", make_posterior_test(0.9999), 0, {}, {}},
     };
     for (const auto& users : profiles) {
-        for (const auto& [name, test] : tests) {
-            print_profile(users, name, test, first, last);
+        for (const auto& judge : variants) {
+            print_profile(users, judge, first, last);
         }
     }
     return 0;
--- a/src/goldcrestwell/codec/wire_fields.hpp
+++ b/src/goldcrestwell/codec/wire_fields.hpp
@@ -26,7 +26,7 @@
 template <typename Self> auto fields_of(Self& v, wire_tag<row_change>) { return std::tie(v.key, v.expected, v.values); }
 template <typename Self> auto fields_of(Self& v, wire_tag<table_row>) { return std::tie(v.key, v.row_version, v.changed_at, v.values); }
 template <typename Self> auto fields_of(Self& v, wire_tag<move_key>) { return std::tie(v.row, v.row_version); }
-template <typename Self> auto fields_of(Self& v, wire_tag<move_state>) { return std::tie(v.stage, v.done, v.taken_back, v.reason); }
+template <typename Self> auto fields_of(Self& v, wire_tag<move_state>) { return std::tie(v.stage, v.done, v.taken_back, v.reason, v.rechecks); }
 template <typename Self> auto fields_of(Self& v, wire_tag<move_update>) { return std::tie(v.key, v.state); }
 template <typename Self> auto fields_of(Self& v, wire_tag<upstream_info>) { return std::tie(v.service, v.version, v.slots, v.connections); }
 template <typename Self> auto fields_of(Self& v, wire_tag<version_share>) { return std::tie(v.version, v.share); }
--- a/src/goldcrestwell/core/membership/digest_hash.cpp
+++ b/src/goldcrestwell/core/membership/digest_hash.cpp
@@ -38,7 +38,8 @@
     auto hash = combine(stable_hash(update.key.row.route.value), stable_hash(update.key.row.version.value));
     hash = combine(hash, update.key.row_version.value());
     const auto flags = (update.state.done ? 1U : 0U) | (update.state.taken_back ? 2U : 0U);
-    return combine(hash, (std::uint64_t{update.state.stage} << 8U) | flags);
+    hash = combine(hash, (std::uint64_t{update.state.stage} << 8U) | flags);
+    return combine(hash, update.state.rechecks);
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/message/move_state.hpp
+++ b/src/goldcrestwell/core/message/move_state.hpp
@@ -14,6 +14,8 @@
     bool done{};
     bool taken_back{};
     take_back_reason reason{take_back_reason::none};
+    /** @brief Rechecks begun; each gives the old versions a part of their traffic back for a fixed time. */
+    std::uint8_t rechecks{};
 
     [[nodiscard]] friend bool operator==(const move_state&, const move_state&) = default;
 };
--- a/src/goldcrestwell/core/rollout/evidence_series.cpp
+++ b/src/goldcrestwell/core/rollout/evidence_series.cpp
@@ -60,7 +60,8 @@
     append(slow_, slow_stratum(slice.candidate, slice.baseline, history.slow_bucket()));
 }
 
-std::vector<stratum> evidence_series::failures(const evidence_slice& open, const evidence_totals& history) const {
+std::vector<stratum> evidence_series::failures(const evidence_slice& open, const evidence_totals& history,
+                                               const evidence_scope scope) const {
     auto strata = failures_;
     auto unpaired = unpaired_;
     if (open.baseline.calls == 0) {
@@ -68,11 +69,14 @@
     } else {
         strata.push_back(failure_stratum(open.candidate, open.baseline));
     }
-    strata.push_back(failure_stratum(unpaired, history));
+    if (scope == evidence_scope::all) {
+        strata.push_back(failure_stratum(unpaired, history));
+    }
     return strata;
 }
 
-std::vector<stratum> evidence_series::slow(const evidence_slice& open, const evidence_totals& history) const {
+std::vector<stratum> evidence_series::slow(const evidence_slice& open, const evidence_totals& history,
+                                           const evidence_scope scope) const {
     const auto bucket = history.slow_bucket();
     auto strata = slow_;
     auto unpaired = unpaired_;
@@ -81,7 +85,9 @@
     } else {
         strata.push_back(slow_stratum(open.candidate, open.baseline, bucket));
     }
-    strata.push_back(slow_stratum(unpaired, history, bucket));
+    if (scope == evidence_scope::all) {
+        strata.push_back(slow_stratum(unpaired, history, bucket));
+    }
     return strata;
 }
 
--- a/src/goldcrestwell/core/rollout/evidence_series.hpp
+++ b/src/goldcrestwell/core/rollout/evidence_series.hpp
@@ -5,6 +5,7 @@
 #include "goldcrestwell/core/rollout/stratum.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace goldcrestwell {
@@ -15,6 +16,14 @@
     evidence_totals baseline;
 };
 
+/** @brief Which spans of time a judgement uses. */
+enum class evidence_scope : std::uint8_t {
+    /** @brief Spans without calls of the old version are compared with its history. */
+    all,
+    /** @brief Only spans in which both versions had calls. */
+    concurrent,
+};
+
 /**
  * @brief Strata of a move for both criteria.
  *
@@ -28,9 +37,14 @@
     void add(const evidence_slice& slice, const evidence_totals& history);
 
     /** @return Strata of failures, with the open slice. */
-    [[nodiscard]] std::vector<stratum> failures(const evidence_slice& open, const evidence_totals& history) const;
+    [[nodiscard]] std::vector<stratum> failures(const evidence_slice& open, const evidence_totals& history,
+                                                evidence_scope scope) const;
     /** @return Strata of calls slower than the old version's 95th percentile, with the open slice. */
-    [[nodiscard]] std::vector<stratum> slow(const evidence_slice& open, const evidence_totals& history) const;
+    [[nodiscard]] std::vector<stratum> slow(const evidence_slice& open, const evidence_totals& history,
+                                            evidence_scope scope) const;
+
+    /** @brief Drops the spans in which the old version had no calls. */
+    void drop_unpaired() noexcept { unpaired_ = {}; }
 
     [[nodiscard]] std::uint64_t candidate_calls() const noexcept { return candidate_calls_; }
 
--- a/src/goldcrestwell/core/rollout/move_record.hpp
+++ b/src/goldcrestwell/core/rollout/move_record.hpp
@@ -22,6 +22,14 @@
     std::optional<steady_time> ready_since;
     /** @brief Since when the verdict has been to take the version back. */
     std::optional<steady_time> suspect_since;
+    /** @brief Since when the verdict has been so against the old version's history, which calls for a recheck. */
+    std::optional<steady_time> history_suspect_since;
+    /** @brief When this node takes the old version's part away again; set during a recheck. */
+    std::optional<steady_time> recheck_until;
+    /** @brief This node begins no recheck before. */
+    steady_time next_recheck{steady_time::min()};
+    /** @brief The last recheck brought too few calls of the old version to judge by. */
+    bool recheck_thin{};
     /** @brief Why the stage was not raised at the last decision. */
     row_reason blocked{row_reason::awaiting_proposer};
     move_evidence evidence;
--- a/src/goldcrestwell/core/rollout/rollout_decide.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_decide.cpp
@@ -37,10 +37,14 @@
     if (move.state.done || move.state.taken_back) {
         return;
     }
-    const auto judged = move.evidence.judge(options_.test);
-    if (take_back_if_faulty(plan, key, judged, now)) {
+    end_recheck_when_over(move, now);
+    const auto judged = move.evidence.judge(options_.test, evidence_scope::all);
+    const auto decisive =
+        history_decides(plan, move) ? judged : move.evidence.judge(options_.test, evidence_scope::concurrent);
+    if (take_back_if_faulty(plan, key, decisive, now)) {
         return;
     }
+    request_recheck(plan, key, judged.result, now);
     if (!options_.has_upstream(plan.service, row.key.version)) {
         move.blocked = row_reason::no_upstream;
     } else {
--- a/src/goldcrestwell/core/rollout/rollout_engine.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine.cpp
@@ -125,7 +125,7 @@
         const auto row = std::find_if(plan->rows.begin(), plan->rows.end(),
                                       [&version](const table_row& entry) { return entry.key.version == version; });
         const auto* move = row == plan->rows.end() ? nullptr : find(*row);
-        return move == nullptr ? share{} : permitted_progress(move->state);
+        return move == nullptr ? share{} : this->progress(*plan, *move);
     };
     const auto alive = [this, plan](const upstream_version& version) {
         return options_.has_upstream(plan->service, version);
@@ -204,7 +204,13 @@
         move.stage_since = now;
         move.evidence.start_stage(now);
     }
+    const bool recheck = merged.rechecks != move.state.rechecks;
     move.state = merged;
+    if (is_finished(merged)) {
+        move.recheck_until.reset();
+    } else if (recheck) {
+        start_recheck(move, now);
+    }
     move.ready_since.reset();
     move.append_at.reset();
     move.blocked = row_reason::awaiting_proposer;
--- a/src/goldcrestwell/core/rollout/rollout_engine.hpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine.hpp
@@ -71,6 +71,13 @@
     void decide(const route_plan& plan, const table_row& row, size_type rank, time_sample now);
     /** @return True if the version was taken back, or would be if an old version were alive. */
     bool take_back_if_faulty(const route_plan& plan, const move_key& key, const judgement& judged, time_sample now);
+    /** @return True if the old version's history may decide, false if a recheck must confirm it. */
+    [[nodiscard]] bool history_decides(const route_plan& plan, const internal::move_record& move) const;
+    [[nodiscard]] share progress(const route_plan& plan, const internal::move_record& move) const;
+    void start_recheck(internal::move_record& move, time_sample now) const;
+    void end_recheck_when_over(internal::move_record& move, time_sample now) const;
+    /** @brief Begins a recheck everywhere if the candidate looks faulty against the old version's history. */
+    void request_recheck(const route_plan& plan, const move_key& key, verdict judged, time_sample now);
     void raise_when_ready(const move_key& key, size_type rank, time_sample now);
     void append_facts(const route_plan& plan, time_sample now);
     void append(const move_key& key, internal::move_record& move, size_type rank, time_sample now);
--- a/src/goldcrestwell/core/rollout/rollout_engine_options.hpp
+++ b/src/goldcrestwell/core/rollout/rollout_engine_options.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestwell/core/common/invariant_monitor.hpp"
 #include "goldcrestwell/core/common/names.hpp"
 #include "goldcrestwell/core/common/node_id.hpp"
+#include "goldcrestwell/core/common/share.hpp"
 #include "goldcrestwell/core/message/evidence_report.hpp"
 #include "goldcrestwell/core/message/move_update.hpp"
 #include "goldcrestwell/core/message/rollout_fact.hpp"
@@ -30,6 +31,18 @@
     std::chrono::milliseconds confirm_after{1'500};
     /** @brief A timer this late means that the process was paused and its knowledge may be old. */
     std::chrono::milliseconds pause_tolerance{2'000};
+    /** @brief Rechecks of one move; then the old version's history decides. Zero lets it decide at once. */
+    std::uint8_t maximum_rechecks{255};
+    /** @brief Part of the candidate's way that the old versions get back during a recheck. */
+    share recheck_share{500'000};
+    /** @brief Length of a recheck on each node, from its own learning: two slices of evidence. */
+    std::chrono::milliseconds recheck_time{10'000};
+    /** @brief Time from a recheck that found both versions alike to the next one. */
+    std::chrono::milliseconds recheck_spacing{20'000};
+    /** @brief Calls of the old version that a recheck needs; with fewer, its history decides. */
+    std::uint32_t recheck_samples{10};
+    /** @brief Part of the way kept on the old versions from the last stage to `done`. */
+    share kept_share{};
     /** @brief First and longest wait before a fact is appended to the log again. */
     std::chrono::milliseconds append_retry_min{1'000};
     std::chrono::milliseconds append_retry_max{30'000};
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -204,7 +204,8 @@
                {"stage", static_cast<unsigned>(event.state.stage)},
                {"done", static_cast<unsigned>(event.state.done)},
                {"taken_back", static_cast<unsigned>(event.state.taken_back)},
-               {"reason", to_string(event.state.reason)}});
+               {"reason", to_string(event.state.reason)},
+               {"rechecks", static_cast<unsigned>(event.state.rechecks)}});
 }
 
 } // namespace goldcrestwell
--- a/test/core/message/join.cpp
+++ b/test/core/message/join.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace goldcrestwell;
 
 BOOST_AUTO_TEST_SUITE(joins)
@@ -23,6 +25,7 @@
     BOOST_TEST(rc::check("monotone", [](const move_state& a, const move_state& b) {
         const auto both = join(a, b);
         RC_ASSERT(both.stage >= a.stage);
+        RC_ASSERT(both.rechecks == std::max(a.rechecks, b.rechecks));
         RC_ASSERT(both.taken_back == (a.taken_back || b.taken_back));
         RC_ASSERT(covers(both, a) && covers(both, b));
     }));
--- a/test/core/rollout/sequential_tests.cpp
+++ b/test/core/rollout/sequential_tests.cpp
@@ -61,7 +61,7 @@
     move_evidence evidence;
     evidence.add_baseline(window(1000, 0, 10), at(1s));
     evidence.add_candidate(window(50, 0, 14), at(1s));
-    const auto judged = evidence.judge(make_mixture_test(0.001));
+    const auto judged = evidence.judge(make_mixture_test(0.001), evidence_scope::all);
     BOOST_TEST((judged.result == verdict::take_back));
     BOOST_TEST((judged.reason == take_back_reason::latency));
 }
@@ -77,7 +77,8 @@
     for (auto time = 101s; time < 130s; ++time) {
         evidence.add_candidate(window(50, time < 120s ? 0 : 5, 10), at(time));
     }
-    BOOST_TEST((evidence.judge(make_mixture_test(0.001)).result == verdict::take_back));
+    BOOST_TEST((evidence.judge(make_mixture_test(0.001), evidence_scope::all).result == verdict::take_back));
+    BOOST_TEST((evidence.judge(make_mixture_test(0.001), evidence_scope::concurrent).result == verdict::go_on));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
