--- a/test/core/rollout/history_network.cpp
+++ b/test/core/rollout/history_network.cpp
@@ -127,6 +127,9 @@
         const route_name route{chance(0.5) ? "/a" : "/b"};
         failure_rate_[route] = chance(0.5) ? 0.3 : 0.0;
     }
+    if (chance(0.02)) {
+        common_failures_ = chance(0.3) ? 0.3 : 0.01;
+    }
     for (auto& one : participants_) {
         if (chance(0.1) && now_.steady >= one.paused_until) {
             give_snapshot(one);
@@ -187,7 +190,7 @@
         const auto part = share_of(one.engine->shares(route), one.upstream).value();
         const auto calls = below(40) * part / full_share.value();
         for (std::size_t call = 0; call < calls; ++call) {
-            const bool failed = chance(one.upstream == new_version ? rate : 0.01);
+            const bool failed = chance(one.upstream == new_version ? std::max(rate, common_failures_) : common_failures_);
             one.engine->record({.row = row, .failed = failed, .latency = std::chrono::milliseconds{10}}, now_);
         }
     }
@@ -233,6 +236,12 @@
         moves.begin(), moves.end(), [](const move_update& one) { return one.state.done && !one.state.taken_back; }));
 }
 
+std::size_t history_network::rechecked_moves() const {
+    const auto moves = participants_.front().engine->moves();
+    return static_cast<std::size_t>(
+        std::count_if(moves.begin(), moves.end(), [](const move_update& one) { return one.state.rechecks > 0; }));
+}
+
 bool history_network::chance(const double probability) {
     return std::uniform_real_distribution{}(random_) < probability;
 }
--- a/test/core/rollout/history_network.hpp
+++ b/test/core/rollout/history_network.hpp
@@ -29,6 +29,7 @@
     [[nodiscard]] std::size_t shrunk_states() const { return shrunk_states_; }
     [[nodiscard]] std::size_t taken_back_moves() const;
     [[nodiscard]] std::size_t finished_moves() const;
+    [[nodiscard]] std::size_t rechecked_moves() const;
 
 private:
     struct participant {
@@ -66,6 +67,8 @@
     std::multimap<steady_time, delivery> queue_;
     std::set<upstream_version> gone_;
     std::map<route_name, double> failure_rate_;
+    /** Failures of both versions alike. */
+    double common_failures_{0.01};
     invariant_monitor monitor_;
     std::vector<participant> participants_;
     std::size_t taken_back_got_traffic_{};
