Cover every field of a move in its digests

Cause: membership's digest left out the reason, so two nodes that took a version back for different reasons at the same moment sent equal digests; the new count of rechecks needs the same care in both digests. Change: membership hashes the reason; tests compare the digests of states that differ in one field.

--- a/src/goldcrestwell/core/membership/digest_hash.cpp
+++ b/src/goldcrestwell/core/membership/digest_hash.cpp
@@ -39,6 +39,7 @@
     hash = combine(hash, update.key.row_version.value());
     const auto flags = (update.state.done ? 1U : 0U) | (update.state.taken_back ? 2U : 0U);
     hash = combine(hash, (std::uint64_t{update.state.stage} << 8U) | flags);
+    hash = combine(hash, static_cast<std::uint64_t>(update.state.reason));
     return combine(hash, update.state.rechecks);
 }
 
--- a/test/core/config/table_reducer.cpp
+++ b/test/core/config/table_reducer.cpp
@@ -2,6 +2,7 @@
 
 #include "core/config/table_support.hpp"
 #include "goldcrestwell/core/config/config_limits.hpp"
+#include "goldcrestwell/core/config/state_digest.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -227,6 +228,18 @@
     BOOST_TEST(reducer.snapshot()->recorded({.row = old_row, .row_version = log_offset{3}})->stage == 3U);
 }
 
+// Guards against a recheck that the log's state loses, or that two nodes hold differently under the same digest.
+BOOST_AUTO_TEST_CASE(rechecks_are_recorded) {
+    apply(edit_at(1, {set_row(old_row, 1)}));
+    reducer.apply(fact_at(2, old_row, 1, {.stage = 5}));
+    reducer.apply(fact_at(3, old_row, 1, {.stage = 1, .rechecks = 2}));
+    const auto recorded = reducer.snapshot()->recorded({.row = old_row, .row_version = log_offset{1}});
+    BOOST_CHECK((recorded == move_state{.stage = 5, .rechecks = 2}));
+    const route_state two{.facts = {{.key = {}, .state = {.stage = 5, .rechecks = 2}}}};
+    const route_state three{.facts = {{.key = {}, .state = {.stage = 5, .rechecks = 3}}}};
+    BOOST_TEST(internal::digest_of(two) != internal::digest_of(three));
+}
+
 // Guards against shares that lose or invent traffic by rounding.
 BOOST_AUTO_TEST_CASE(shares_sum_up) {
     std::vector<row_change> changes;
--- a/test/core/rollout/history_network.cpp
+++ b/test/core/rollout/history_network.cpp
@@ -190,7 +190,8 @@
         const auto part = share_of(one.engine->shares(route), one.upstream).value();
         const auto calls = below(40) * part / full_share.value();
         for (std::size_t call = 0; call < calls; ++call) {
-            const bool failed = chance(one.upstream == new_version ? std::max(rate, common_failures_) : common_failures_);
+            const bool failed =
+                chance(one.upstream == new_version ? std::max(rate, common_failures_) : common_failures_);
             one.engine->record({.row = row, .failed = failed, .latency = std::chrono::milliseconds{10}}, now_);
         }
     }
