--- a/bench/rollout_verdicts.cpp
+++ b/bench/rollout_verdicts.cpp
@@ -81,7 +81,7 @@
     return 0.0;
 }
 
-fault failing(std::string name, const double rate, std::function<bool(const moment&)> when) {
+fault failing(std::string name, const double rate, const std::function<bool(const moment&)>& when) {
     return {.name = std::move(name),
             .bad = true,
             .extra_failures = [rate, when](const moment& now) { return when(now) ? rate : 0.0; },
@@ -97,7 +97,7 @@
             .common_failures = none};
 }
 
-fault common(std::string name, std::function<bool(const moment&)> when) {
+fault common(std::string name, const std::function<bool(const moment&)>& when) {
     return {.name = std::move(name),
             .extra_failures = none,
             .slowdown = none,
