Count redundant facts and bytes by priority in the membership measurement

The module's counters now hold the records received by gossip and by exchange, how many of them were known already, and the bytes of facts in datagrams; bench_membership_spread prints them by phase. No behaviour changes.

--- a/bench/membership_spread.cpp
+++ b/bench/membership_spread.cpp
@@ -95,6 +95,43 @@
     return result;
 }
 
+/** Prints what all nodes that are up have sent and received since their start. */
+void print_counts(network& net, const char* phase) {
+    membership_counters sum;
+    for (std::size_t index = 0; index < net.size(); ++index) {
+        if (!net.running(index)) {
+            continue;
+        }
+        const auto& counts = net.node(index).counts();
+        sum.syncs += counts.syncs;
+        sum.gossip_records += counts.gossip_records;
+        sum.gossip_repeats += counts.gossip_repeats;
+        sum.sync_records += counts.sync_records;
+        sum.sync_repeats += counts.sync_repeats;
+        sum.datagrams += counts.datagrams;
+        sum.fact_bytes += counts.fact_bytes;
+        for (std::size_t place = 0; place < control_priority_count; ++place) {
+            const auto priority = static_cast<control_priority>(place);
+            sum.bytes.add(priority, counts.bytes[priority]);
+            sum.withheld.add(priority, counts.withheld[priority]);
+        }
+    }
+    const auto nodes = static_cast<double>(net.size());
+    std::printf("# %s, per node: %.0f syncs, %.0f records gossiped (%.0f repeats), %.0f by sync (%.0f repeats), "
+                "%.0f datagrams of %.0f bytes of facts;",
+                phase, static_cast<double>(sum.syncs) / nodes, static_cast<double>(sum.gossip_records) / nodes,
+                static_cast<double>(sum.gossip_repeats) / nodes, static_cast<double>(sum.sync_records) / nodes,
+                static_cast<double>(sum.sync_repeats) / nodes, static_cast<double>(sum.datagrams) / nodes,
+                static_cast<double>(sum.fact_bytes) / static_cast<double>(std::max<std::uint64_t>(1, sum.datagrams)));
+    for (std::size_t place = 0; place < control_priority_count; ++place) {
+        const auto priority = static_cast<control_priority>(place);
+        std::printf(" %s %.0f bytes (%.0f withheld)", std::string{to_string(priority)}.c_str(),
+                    static_cast<double>(sum.bytes[priority]) / nodes,
+                    static_cast<double>(sum.withheld[priority]) / nodes);
+    }
+    std::printf("\n");
+}
+
 double form(network& net) {
     for (std::size_t index = 0; index + 1 < net.size(); ++index) {
         net.start(index);
@@ -143,6 +180,7 @@
     network net{count, region_count, seed_count, random_seed};
     net.network_faults.longest_delay = longest_delay;
     result.formed_s = form(net);
+    print_counts(net, "formed");
     net.run_for(seconds{60});
     result.kilobytes_per_member = static_cast<double>(mallinfo2().uordblks - heap) / 1024.0 /
                                   static_cast<double>(count) / static_cast<double>(count);
@@ -182,7 +220,9 @@
     net.kill(last);
     net.run_for(seconds{30});
     load cost;
+    print_counts(net, "before restart");
     result.restart_s = restart_part(net, cost);
+    print_counts(net, "after restart");
     result.restart_bytes = cost.bytes;
     result.restart_worst_bytes = cost.worst_bytes;
     result.processor_restart_ms = cost.processor_ms;
--- a/src/goldcrestwell/core/membership/membership_counters.hpp
+++ b/src/goldcrestwell/core/membership/membership_counters.hpp
@@ -32,6 +32,18 @@
     std::uint64_t join_pings{};
     /** @brief Anti-entropy exchanges started. */
     std::uint64_t syncs{};
+    /** @brief Records of other nodes received in datagrams. */
+    std::uint64_t gossip_records{};
+    /** @brief Part of `gossip_records` that told nothing new. */
+    std::uint64_t gossip_repeats{};
+    /** @brief Records of other nodes received in anti-entropy exchanges. */
+    std::uint64_t sync_records{};
+    /** @brief Part of `sync_records` that told nothing new. */
+    std::uint64_t sync_repeats{};
+    /** @brief Datagrams sent. */
+    std::uint64_t datagrams{};
+    /** @brief Bytes of facts in the datagrams sent. */
+    std::uint64_t fact_bytes{};
     /** @brief Bytes sent, by priority. */
     enum_counters<control_priority, control_priority_count> bytes;
     /** @brief Messages withheld because the byte budget was used up, by priority. */
--- a/src/goldcrestwell/core/membership/membership_facts.cpp
+++ b/src/goldcrestwell/core/membership/membership_facts.cpp
@@ -18,8 +18,12 @@
     const auto had_upstream = known != nullptr && known->upstream && known->status == member_status::alive;
     const auto news = table_.apply(record, now_);
     if (from == source::exchange) {
+        ++counts_.sync_records;
+        counts_.sync_repeats += news ? 0U : 1U;
         return news;
     }
+    ++counts_.gossip_records;
+    counts_.gossip_repeats += news ? 0U : 1U;
     const auto& newest = *table_.find(record.id);
     if (!news) {
         if (newest.incarnation == record.incarnation && newest.status == record.status) {
--- a/src/goldcrestwell/core/membership/membership_spread.cpp
+++ b/src/goldcrestwell/core/membership/membership_spread.cpp
@@ -199,8 +199,10 @@
         const auto facts = options_.wire_size(message) - bare;
         if (facts > 0) {
             (void)budget_.spend(facts, *first, now_);
+            counts_.fact_bytes += facts;
         }
     }
+    ++counts_.datagrams;
     options_.send_datagram(to, message);
     return true;
 }
