--- a/src/goldcrestwell/core/membership/anti_entropy.cpp
+++ b/src/goldcrestwell/core/membership/anti_entropy.cpp
@@ -32,8 +32,6 @@
 constexpr std::size_t much_news = 4;
 /** Wait after little news, in catch-up intervals. */
 constexpr int little_news_factor = 8;
-/** Wait for an answer in catch-up intervals; a peer whose budget is used up does not answer. */
-constexpr int no_answer_factor = 4;
 
 } // namespace
 
@@ -46,6 +44,14 @@
     next_ = now + jittered(wait_);
 }
 
+void anti_entropy::hasten(const std::chrono::milliseconds interval, const steady_time now) {
+    wait_ = std::min(wait_, interval);
+    const auto soon = now + jittered(interval);
+    if (!next_ || soon < *next_) {
+        next_ = soon;
+    }
+}
+
 void anti_entropy::on_timer(const steady_time now) {
     if (next_ && now >= *next_) {
         exchange(now);
@@ -76,7 +82,8 @@
             budget_->ready_at(bytes, control_priority::anti_entropy, now) + jittered(options_.timing.catch_up_interval);
         return;
     }
-    next_ = now + jittered(options_.timing.catch_up_interval * no_answer_factor);
+    next_ = now + jittered(wait_);
+    wait_ = std::min(wait_ * 2, options_.timing.sync_interval);
     options_.send(*peer, digest);
 }
 
@@ -94,8 +101,7 @@
         list.records.push_back({.id = id, .incarnation = told.incarnation, .status = told.status});
     }
     const auto bytes = frame_overhead + list.records.size() * version_bytes;
-    // An empty list tells the asker that nothing differs; without an answer it turns to another peer soon.
-    if (budget_->spend(bytes, control_priority::anti_entropy, now)) {
+    if (!list.records.empty() && budget_->spend(bytes, control_priority::anti_entropy, now)) {
         options_.send(to, list);
     }
 }
@@ -114,12 +120,10 @@
         }
         wanted.push_back(theirs.id);
     }
-    if (!wanted.empty() || waiting || list.more) {
-        wait_ = options_.timing.catch_up_interval * (wanted.size() >= much_news ? 1 : little_news_factor);
-    } else {
-        wait_ = std::min(wait_ * 2, options_.timing.sync_interval);
+    if (!wanted.empty() || waiting) {
+        const auto factor = wanted.size() >= much_news ? 1 : little_news_factor;
+        hasten(options_.timing.catch_up_interval * factor, now);
     }
-    next_ = now + jittered(wait_);
     request(from, wanted, now);
 }
 
--- a/src/goldcrestwell/core/membership/anti_entropy.hpp
+++ b/src/goldcrestwell/core/membership/anti_entropy.hpp
@@ -65,6 +65,7 @@
     void send_list(node_id to, const sync_digest& digest, steady_time now);
     [[nodiscard]] bool is_news(const record_version& theirs) const;
     void request(node_id first_peer, const std::vector<node_id>& ids, steady_time now);
+    void hasten(std::chrono::milliseconds interval, steady_time now);
     void add_answer(answer job, steady_time now);
     void send_parts(steady_time now);
     [[nodiscard]] sync_state next_part(const answer& job) const;
@@ -82,7 +83,7 @@
     std::deque<answer> answers_;
     /** Ids requested lately, with the time from which they may be requested again. */
     std::map<node_id, steady_time> requested_;
-    /** Wait after an exchange; doubles up to the usual interval while nothing differs. */
+    /** Wait before the next exchange if this one finds nothing; doubles up to the usual interval. */
     std::chrono::milliseconds wait_;
 };
 
