Test that 300 nodes started at once at one seed know each other in 60 s

The test guards against a seed that is overrun, exchanges that repeat known records and gossip that uses up the byte budget.

--- /dev/null
+++ b/test/core/membership/formation.cpp
@@ -0,0 +1,45 @@
+#include "simulated_network.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace goldcrestwell;
+using simulated::network;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(formation)
+
+// Guards against a seed that is overrun, exchanges that repeat known records, and gossip that uses up the byte budget.
+BOOST_AUTO_TEST_CASE(nodes_started_at_once_know_each_other_soon) {
+    constexpr std::size_t node_count = 300;
+    // Each node receives 300 records of about 110 bytes, 5 s of its budget; the rest is for joining through one seed.
+    constexpr seconds bound{60};
+    network net{node_count, 4, 1, 5};
+    net.network_faults = {.drop = 0.01, .duplicate = 0.01, .longest_delay = milliseconds{100}};
+    for (std::size_t index = 0; index < node_count; ++index) {
+        net.start(index);
+        net.on(index, [&](membership& node) {
+            node.announce({.service = {"orders"}, .version = {"v1"}, .slots = 10, .connections = 130}, net.now());
+        });
+    }
+    const auto begin = net.now().steady;
+    const auto complete = [&net] {
+        for (std::size_t index = 0; index < node_count; ++index) {
+            if (net.node(index).upstreams({"orders"}, {"v1"}).size() != node_count) {
+                return false;
+            }
+        }
+        return true;
+    };
+    while (!complete() && net.now().steady < begin + bound) {
+        net.run_for(seconds{1});
+    }
+    BOOST_TEST(complete());
+    const std::chrono::duration<double> passed = net.now().steady - begin;
+    BOOST_TEST_MESSAGE("formed in " << passed.count() << " s");
+    for (std::size_t index = 0; index < node_count; ++index) {
+        BOOST_TEST(static_cast<double>(net.at(index).bytes) <= 14'000.0 + 7000.0 * passed.count());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
