Test requests that cannot leave the node and make the new tests lint clean

Change: the tests set both hooks, and a case checks that a request over a refused connection is reported as not sent. Conclusion: the fault was in the test, not in the program.

--- a/test/shell/peer_transport.cpp
+++ b/test/shell/peer_transport.cpp
@@ -28,6 +28,7 @@
                              messages.push_back(message);
                          },
                      .on_lost = [this](const node_id peer) { lost.push_back(peer); },
+                     .on_not_sent = [this](const attempt_id& id) { not_sent.push_back(id); },
                      .on_drop =
                          [this](const drop_reason reason) {
                              drops.push_back(reason);
@@ -36,6 +37,7 @@
     std::vector<node_id> senders;
     std::vector<peer_message> messages;
     std::vector<node_id> lost;
+    std::vector<attempt_id> not_sent;
     std::vector<drop_reason> drops;
     peer_transport transport;
 };
@@ -100,6 +102,7 @@
         peer_connection connection{loop,
                                    to_endpoint(second_id),
                                    {.on_frame = [](std::string_view) { return true; },
+                                    .on_connected = [] {},
                                     .on_closed =
                                         [&closed](codec_reason) {
                                             closed = true;
@@ -113,4 +116,16 @@
     BOOST_TEST(second.transport.connections() == 0U);
 }
 
+// Guards against an unknown outcome for a request that cannot have left the node.
+BOOST_AUTO_TEST_CASE(requests_over_a_refused_connection_are_reported_as_not_sent) {
+    event_loop loop;
+    recorded_transport first{loop, first_id, incarnation{7}};
+    BOOST_REQUIRE(first.transport.start());
+    const attempt_id id{.origin = first_id, .life = incarnation{7}, .sequence = 1};
+    first.transport.send(second_id, attempt_request{.id = id});
+    BOOST_REQUIRE(run_until(loop, [&] { return !first.not_sent.empty(); }));
+    BOOST_TEST((first.not_sent == std::vector<attempt_id>{id}));
+    BOOST_TEST(run_until(loop, [&] { return !first.lost.empty(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/system/child_process.cpp
+++ b/test/system/child_process.cpp
@@ -8,8 +8,6 @@
 #include <csignal>
 #include <stdexcept>
 
-extern char** environ;
-
 namespace goldcrestwell::test {
 
 namespace {
@@ -21,6 +19,7 @@
 
 child_process::child_process(const std::vector<std::string>& arguments, const std::filesystem::path& output) {
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (const auto& argument : arguments) {
         pointers.push_back(const_cast<char*>(argument.c_str()));
     }
--- a/test/system/test_cluster.cpp
+++ b/test/system/test_cluster.cpp
@@ -74,6 +74,7 @@
 
 std::vector<std::uint16_t> test_cluster::caller_ports(const std::vector<std::size_t>& indices) const {
     std::vector<std::uint16_t> ports;
+    ports.reserve(indices.size());
     for (const auto index : indices) {
         ports.push_back(caller_port(index));
     }
