--- a/test/core/node/histories.cpp
+++ b/test/core/node/histories.cpp
@@ -7,10 +7,8 @@
 #include <utility>
 
 using namespace goldcrestwell;
-using goldcrestwell::test::fake_network;
 using goldcrestwell::test::node_world;
 using goldcrestwell::test::version_fault;
-using goldcrestwell::test::world_routes;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
