Declare the shell's classes in a forward header

Cause: every module has a fwd.hpp but the shell. Change: shell/fwd.hpp, and the one message missing from message/fwd.hpp. Measured: both compile on their own. Conclusion: none.

--- a/src/goldcrestwell/core/message/fwd.hpp
+++ b/src/goldcrestwell/core/message/fwd.hpp
@@ -41,6 +41,7 @@
 struct sync_state;
 struct table_edit;
 struct table_row;
+struct unreadable_record;
 struct upstream_info;
 struct upstream_result;
 struct version_share;
--- /dev/null
+++ b/src/goldcrestwell/shell/fwd.hpp
@@ -0,0 +1,24 @@
+#ifndef GOLDCRESTWELL_SHELL_FWD_HPP
+#define GOLDCRESTWELL_SHELL_FWD_HPP
+
+namespace goldcrestwell {
+
+class admin_listener;
+class caller_listener;
+class event_loop;
+class gossip_socket;
+class http_connection;
+class http_exchange;
+class http_server;
+class log_client;
+class node_process;
+class peer_connection;
+class peer_transport;
+class signal_watch;
+class timer;
+class upstream_client;
+struct endpoint;
+
+} // namespace goldcrestwell
+
+#endif
