Hold the longest stated time-out in a chrono type

Cause: the limit of the time-out header was a bare number of milliseconds. Change: std::chrono::milliseconds. Measured: test_shell passes. Conclusion: none.

--- a/src/goldcrestwell/shell/call_mapping.cpp
+++ b/src/goldcrestwell/shell/call_mapping.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint32_t status_bad_request = 400;
 constexpr std::uint32_t status_too_large = 413;
 constexpr std::uint32_t status_no_route = 404;
-constexpr std::uint32_t max_timeout_ms = 3'600'000;
+constexpr std::chrono::milliseconds max_timeout = std::chrono::hours{1};
 constexpr std::uint32_t max_stated_hops = 1000;
 
 std::optional<std::uint32_t> parse_number(const std::string_view text, const std::uint32_t limit) {
@@ -70,7 +70,7 @@
         return std::nullopt;
     }
     if (const auto text = find_header(call.headers, timeout_header)) {
-        const auto timeout = parse_number(*text, max_timeout_ms);
+        const auto timeout = parse_number(*text, static_cast<std::uint32_t>(max_timeout.count()));
         if (!timeout) {
             return std::nullopt;
         }
