Hold two more times in chrono types

Cause: the time that the byte bucket holds and the first limit of the latency histogram were bare numbers with their unit in the name. Change: std::chrono durations of the same values. Measured: test_core_message and test_core_membership pass as before. Conclusion: no behaviour changes.

--- a/src/goldcrestwell/core/membership/byte_budget.cpp
+++ b/src/goldcrestwell/core/membership/byte_budget.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** Two seconds let a push of an urgent fact to three nodes and a part of an exchange go out in one piece. */
-constexpr double bucket_seconds = 2.0;
+constexpr std::chrono::duration<double> bucket_time{2.0};
 
 /**
  * Part of the bucket that a priority must leave for the ones before it. Detection needs about 300 bytes a second, so
@@ -20,7 +20,7 @@
 } // namespace
 
 byte_budget::byte_budget(const size_type bytes_per_second, membership_counters& counts) noexcept
-    : rate_{static_cast<double>(bytes_per_second)}, level_{rate_ * bucket_seconds}, counts_{&counts} {}
+    : rate_{static_cast<double>(bytes_per_second)}, level_{rate_ * bucket_time.count()}, counts_{&counts} {}
 
 bool byte_budget::spend(const size_type bytes, const control_priority priority, const steady_time now) {
     refill(now);
@@ -52,7 +52,7 @@
 void byte_budget::refill(const steady_time now) noexcept {
     if (started_ && now > refilled_) {
         const std::chrono::duration<double> passed = now - refilled_;
-        level_ = std::min(rate_ * bucket_seconds, level_ + passed.count() * rate_);
+        level_ = std::min(rate_ * bucket_time.count(), level_ + passed.count() * rate_);
     }
     if (!started_ || now > refilled_) {
         refilled_ = now;
@@ -61,7 +61,7 @@
 }
 
 double byte_budget::floor_of(const control_priority priority) const noexcept {
-    return rate_ * bucket_seconds * floors[static_cast<std::size_t>(priority)];
+    return rate_ * bucket_time.count() * floors[static_cast<std::size_t>(priority)];
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/message/latency_histogram.cpp
+++ b/src/goldcrestwell/core/message/latency_histogram.cpp
@@ -10,14 +10,14 @@
 
 using limit_table = std::array<std::chrono::microseconds, std::tuple_size_v<latency_histogram>>;
 
-constexpr double first_limit_us = 100.0;
+constexpr std::chrono::microseconds first_limit{100};
 constexpr double limits_per_decade = 8.0;
 
 limit_table make_limits() {
     limit_table limits{};
     for (std::size_t bucket = 0; bucket < limits.size(); ++bucket) {
         const auto factor = std::pow(10.0, static_cast<double>(bucket) / limits_per_decade);
-        limits[bucket] = std::chrono::microseconds{std::llround(first_limit_us * factor)};
+        limits[bucket] = std::chrono::microseconds{std::llround(static_cast<double>(first_limit.count()) * factor)};
     }
     limits.back() = std::chrono::microseconds::max();
     return limits;
