--- a/bench/call_cost.cpp
+++ b/bench/call_cost.cpp
@@ -47,13 +47,13 @@
     options.max_calls = 100'000;
     // The deadline must not pass while a call waits for its turn among 10,000 others.
     options.longest_timeout = 1'000'000ms;
-    options.find_route = [](std::string_view) {
+    options.find_route = [](const call_request&) {
         return route_view{.route = {"/orders"}, .service = service};
     };
     options.terms = [](const row_key&) {
         return row_terms{};
     };
-    options.shares = [&shares](const route_name&) {
+    options.shares = [&shares](const route_view&) {
         return std::vector<version_share>{shares};
     };
     options.candidates = [&candidates](const service_name&, const upstream_version&) {
--- a/src/goldcrestwell/codec/wire_fields.hpp
+++ b/src/goldcrestwell/codec/wire_fields.hpp
@@ -28,14 +28,14 @@
 template <typename Self> auto fields_of(Self& v, wire_tag<move_key>) { return std::tie(v.row, v.row_version); }
 template <typename Self> auto fields_of(Self& v, wire_tag<move_state>) { return std::tie(v.stage, v.done, v.taken_back, v.reason, v.rechecks); }
 template <typename Self> auto fields_of(Self& v, wire_tag<move_update>) { return std::tie(v.key, v.state); }
-template <typename Self> auto fields_of(Self& v, wire_tag<upstream_info>) { return std::tie(v.service, v.version, v.slots, v.connections); }
+template <typename Self> auto fields_of(Self& v, wire_tag<upstream_info>) { return std::tie(v.service, v.version, v.slots, v.connections, v.generation); }
 template <typename Self> auto fields_of(Self& v, wire_tag<version_share>) { return std::tie(v.version, v.share); }
 template <typename Self> auto fields_of(Self& v, wire_tag<route_base>) { return std::tie(v.route, v.shares); }
 template <typename Self> auto fields_of(Self& v, wire_tag<edit_verdict>) { return std::tie(v.id, v.at, v.reason, v.row); }
 template <typename Self> auto fields_of(Self& v, wire_tag<http_header>) { return std::tie(v.name, v.value); }
 template <typename Self> auto fields_of(Self& v, wire_tag<http_answer>) { return std::tie(v.status, v.headers, v.body); }
-template <typename Self> auto fields_of(Self& v, wire_tag<call_refusal>) { return std::tie(v.reason, v.state); }
-template <typename Self> auto fields_of(Self& v, wire_tag<call_request>) { return std::tie(v.method, v.target, v.headers, v.body, v.timeout, v.hops); }
+template <typename Self> auto fields_of(Self& v, wire_tag<call_refusal>) { return std::tie(v.reason, v.state, v.retry_after); }
+template <typename Self> auto fields_of(Self& v, wire_tag<call_request>) { return std::tie(v.method, v.host, v.request_id, v.target, v.headers, v.body, v.timeout, v.hops); }
 template <typename Self> auto fields_of(Self& v, wire_tag<evidence_window>) { return std::tie(v.row, v.calls, v.failures, v.latencies); }
 template <typename Self> auto fields_of(Self& v, wire_tag<sequenced_record>) { return std::tie(v.offset, v.record); }
 template <typename Self> auto fields_of(Self& v, wire_tag<record_version>) { return std::tie(v.id, v.incarnation, v.status); }
@@ -43,7 +43,7 @@
 template <typename Self> auto fields_of(Self& v, wire_tag<hello>) { return std::tie(v.sender, v.life); }
 template <typename Self> auto fields_of(Self&, wire_tag<heartbeat>) { return std::tie(); }
 template <typename Self> auto fields_of(Self&, wire_tag<heartbeat_ack>) { return std::tie(); }
-template <typename Self> auto fields_of(Self& v, wire_tag<attempt_request>) { return std::tie(v.id, v.target_life, v.route, v.service, v.version, v.idempotent, v.limits, v.call); }
+template <typename Self> auto fields_of(Self& v, wire_tag<attempt_request>) { return std::tie(v.id, v.target_life, v.route, v.service, v.version, v.idempotent, v.limits, v.objective, v.priority, v.call); }
 template <typename Self> auto fields_of(Self& v, wire_tag<attempt_reply>) { return std::tie(v.id, v.result, v.load); }
 template <typename Self> auto fields_of(Self& v, wire_tag<attempt_query>) { return std::tie(v.id, v.target_life); }
 template <typename Self> auto fields_of(Self& v, wire_tag<attempt_status>) { return std::tie(v.id, v.progress); }
@@ -51,6 +51,9 @@
 template <typename Self> auto fields_of(Self& v, wire_tag<config_pull>) { return std::tie(v.after); }
 template <typename Self> auto fields_of(Self& v, wire_tag<record_batch>) { return std::tie(v.after, v.records, v.through, v.head, v.first_retained); }
 template <typename Self> auto fields_of(Self& v, wire_tag<evidence_report>) { return std::tie(v.from, v.windows); }
+template <typename Self> auto fields_of(Self& v, wire_tag<operator_record>) { return std::tie(v.offset, v.key, v.payload); }
+template <typename Self> auto fields_of(Self& v, wire_tag<document_pull>) { return std::tie(v.after); }
+template <typename Self> auto fields_of(Self& v, wire_tag<document_batch>) { return std::tie(v.through, v.records); }
 template <typename Self> auto fields_of(Self& v, wire_tag<sync_digest>) { return std::tie(v.buckets, v.moves); }
 template <typename Self> auto fields_of(Self& v, wire_tag<sync_state>) { return std::tie(v.members, v.moves); }
 template <typename Self> auto fields_of(Self& v, wire_tag<sync_list>) { return std::tie(v.records, v.more); }
--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -37,6 +37,10 @@
         return unknown(refusal_reason::answer_truncated);
     case upstream_outcome::too_large:
         return unknown(refusal_reason::answer_too_large);
+    case upstream_outcome::rejected:
+        return call_refusal{.reason = refusal_reason::upstream_rejected, .state = run_state::not_run};
+    case upstream_outcome::invalid:
+        return unknown(refusal_reason::answer_invalid);
     case upstream_outcome::reset:
         break;
     }
@@ -308,11 +312,17 @@
 
 void attempt_ledger::observe(const entry& item, const upstream_result& result, const steady_time now) {
     // An aborted call or one that never reached the upstream says nothing about the version.
-    if (!options_.observe || item.aborted || result.outcome == upstream_outcome::not_sent) {
+    if (!options_.observe || item.aborted || result.outcome == upstream_outcome::not_sent ||
+        result.outcome == upstream_outcome::rejected) {
         return;
     }
     const auto failed = result.outcome != upstream_outcome::answered || result.answer.status >= 500;
-    options_.observe({.row = row_of(item.request), .failed = failed, .latency = now - item.started, .cold = item.cold});
+    const auto lost = result.outcome != upstream_outcome::answered && result.outcome != upstream_outcome::timed_out;
+    options_.observe({.row = row_of(item.request),
+                      .failed = failed,
+                      .connection_lost = lost,
+                      .latency = now - item.started,
+                      .cold = item.cold});
 }
 
 void attempt_ledger::drain(const time_sample now) {
--- a/src/goldcrestwell/core/call/call_dispatcher.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.cpp
@@ -9,6 +9,7 @@
 
 // Two losses without a frame in between mean that the host, not one connection, is gone or cut off.
 constexpr std::uint32_t losses_of_a_dead_peer = 2;
+constexpr std::uint32_t lowest_failing_status = 500;
 
 retry_reason reason_of(const call_refusal& refusal) {
     if (refusal.state == run_state::not_run) {
@@ -22,7 +23,7 @@
 /** @return What a result says about the node; refusals by its limits say nothing against it. */
 selection_outcome outcome_of(const call_result& result) {
     if (const auto* answer = std::get_if<http_answer>(&result)) {
-        return answer->status >= 500 ? selection_outcome::failure : selection_outcome::success;
+        return answer->status >= lowest_failing_status ? selection_outcome::failure : selection_outcome::success;
     }
     const auto& refusal = std::get<call_refusal>(result);
     switch (refusal.reason) {
@@ -55,12 +56,12 @@
     const auto key = ++last_call_;
     ++options_.counts->calls;
     if (const auto reason = check_request(request); reason != refusal_reason::none) {
-        reply_refusal(key, reason, run_state::not_run);
+        reply_refusal(key, {.reason = reason, .state = run_state::not_run});
         return call_id{key};
     }
-    auto route = options_.find_route(request.target);
+    auto route = options_.find_route(request);
     if (!route) {
-        reply_refusal(key, refusal_reason::no_route, run_state::not_run);
+        reply_refusal(key, {.reason = refusal_reason::no_route, .state = run_state::not_run});
         return call_id{key};
     }
     const auto timeout = request.timeout > std::chrono::milliseconds{} ? request.timeout : options_.default_timeout;
@@ -70,11 +71,12 @@
     auto& state = found->second;
     state.request = std::move(request);
     state.route = std::move(*route);
+    state.started = now.steady;
     state.deadline = now.steady + std::min(timeout, options_.longest_timeout);
     const auto sent = send_attempt(key, state, true, now);
     deadlines_.emplace(state.deadline, key);
     if (!sent) {
-        refuse(found, refusal_reason::no_upstream, run_state::not_run);
+        refuse(found, {.reason = refusal_reason::no_upstream, .state = run_state::not_run});
     }
     return call_id{key};
 }
@@ -85,6 +87,7 @@
         return;
     }
     const auto& state = found->second;
+    report(state, call_step::cancelled, refusal_reason::cancelled, run_state::unknown);
     options_.send(state.current.target, attempt_cancel{.id = id_of(state.current)});
     end_attempt(state, state.current, selection_outcome::neutral, now);
     deadlines_.erase({state.deadline, found->first});
@@ -124,10 +127,29 @@
         on_refusal(found, *refusal, reason_of(*refusal), now);
         return;
     }
+    const auto& answer = std::get<http_answer>(reply.result);
+    if (try_again_after(found, answer, now)) {
+        return;
+    }
     ++options_.counts->answered;
+    report(state, call_step::answered, refusal_reason::none, run_state::ran);
     finish(found, reply.result);
 }
 
+// The failing answer is kept, so that a second try that ends worse does not cost the caller an answer it had.
+bool call_dispatcher::try_again_after(const call_map::iterator found, const http_answer& answer,
+                                      const time_sample now) {
+    auto& state = found->second;
+    if (answer.status < lowest_failing_status || !state.current.idempotent ||
+        !state.current.terms.retry_failed_answers) {
+        return false;
+    }
+    state.current.reached_upstream = true;
+    state.may_have_run = true;
+    state.failed_answer = answer;
+    return retry(found, retry_reason::idempotent_upstream_failure, now) == refusal_reason::none;
+}
+
 void call_dispatcher::on_status(const node_id from, const attempt_status& status, const time_sample now) {
     on_heard(from, now);
     const auto found = find_attempt(from, status.id);
@@ -195,6 +217,7 @@
         }
         const auto old = found->second.current;
         const auto could_have_run = std::exchange(found->second.may_have_run, true);
+        found->second.current.reached_upstream = true;
         if (retry(found, retry_reason::idempotent_peer_lost, now) != refusal_reason::none) {
             found->second.may_have_run = could_have_run;
             continue;
@@ -211,7 +234,8 @@
         const auto lost = peers_.losses(state.current.target) > 0;
         options_.send(state.current.target, attempt_cancel{.id = id_of(state.current)});
         end_attempt(state, state.current, lost ? selection_outcome::failure : selection_outcome::neutral, now);
-        refuse(found, lost ? refusal_reason::peer_lost : refusal_reason::deadline_passed, run_state::unknown);
+        refuse(found, {.reason = lost ? refusal_reason::peer_lost : refusal_reason::deadline_passed,
+                       .state = run_state::unknown});
     }
 }
 
--- a/src/goldcrestwell/core/call/call_dispatcher.hpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "goldcrestwell/core/common/call_id.hpp"
 #include "goldcrestwell/core/common/retry_reason.hpp"
 #include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/message/call_event.hpp"
 #include "goldcrestwell/core/message/call_request.hpp"
 #include "goldcrestwell/core/message/call_result.hpp"
 #include "goldcrestwell/core/routing/share_picker.hpp"
@@ -55,14 +56,22 @@
         incarnation target_life;
         upstream_version version;
         bool idempotent{};
+        row_terms terms;
+        /** @brief The request may have arrived at the upstream. */
+        bool reached_upstream{};
     };
     struct call_state {
         call_request request;
         route_view route;
+        steady_time started;
         steady_time deadline;
         std::vector<node_id> tried;
         std::vector<upstream_version> refused_versions;
         std::uint32_t retries{};
+        /** @brief Tries that reached no upstream. */
+        std::uint32_t redirects{};
+        /** @brief Answer of an upstream that failed, given to the caller if no later try brings a better one. */
+        std::optional<http_answer> failed_answer;
         /** @brief An earlier attempt may have run, so no refusal may say `not_run` any more. */
         bool may_have_run{};
         attempt current;
@@ -74,14 +83,18 @@
     [[nodiscard]] std::optional<upstream_version> pick_version(const call_state& state, bool first);
     [[nodiscard]] std::optional<node_id> pick_node(const call_state& state, const upstream_version& version,
                                                    const row_terms& terms, time_sample now);
+    [[nodiscard]] static std::chrono::milliseconds objective_left(const call_state& state, const row_terms& terms,
+                                                                  time_sample now);
     void transmit(const call_state& state, const row_terms& terms, time_sample now);
     [[nodiscard]] call_map::iterator find_attempt(node_id from, const attempt_id& id);
     void end_attempt(const call_state& state, const attempt& ended, selection_outcome outcome, time_sample now);
     void on_refusal(call_map::iterator found, const call_refusal& refusal, retry_reason reason, time_sample now);
     [[nodiscard]] refusal_reason retry(call_map::iterator found, retry_reason reason, time_sample now);
     void finish(call_map::iterator found, const call_result& result);
-    void refuse(call_map::iterator found, refusal_reason reason, run_state state);
-    void reply_refusal(std::uint64_t key, refusal_reason reason, run_state state);
+    void refuse(call_map::iterator found, const call_refusal& refusal);
+    void reply_refusal(std::uint64_t key, call_refusal refusal);
+    void report(const call_state& state, call_step step, refusal_reason reason, run_state run) const;
+    [[nodiscard]] bool try_again_after(call_map::iterator found, const http_answer& answer, time_sample now);
     [[nodiscard]] attempt_id id_of(const attempt& tried) const;
     void on_loss(node_id peer, bool query, time_sample now);
     void query_attempts(node_id peer);
--- a/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
@@ -29,6 +29,16 @@
 
 } // namespace
 
+std::chrono::milliseconds call_dispatcher::objective_left(const call_state& state, const row_terms& terms,
+                                                          const time_sample now) {
+    if (terms.objective <= std::chrono::milliseconds{}) {
+        return {};
+    }
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(state.started + terms.objective - now.steady);
+    // Zero would mean that the route has no objective.
+    return std::max(left, std::chrono::milliseconds{1});
+}
+
 attempt_id call_dispatcher::id_of(const attempt& tried) const {
     return {.origin = options_.self, .life = options_.life, .sequence = tried.sequence};
 }
@@ -56,11 +66,13 @@
 }
 
 std::optional<upstream_version> call_dispatcher::pick_version(const call_state& state, const bool first) {
-    auto picker = pickers_.find(state.route.route);
+    // Names of services have no slash in front, so they do not mix with those of routes that are path prefixes.
+    const route_name group{state.route.shares_by_service ? state.route.service.value : state.route.route.value};
+    auto picker = pickers_.find(group);
     if (picker == pickers_.end()) {
-        picker = pickers_.emplace(state.route.route, share_picker{random_()}).first;
+        picker = pickers_.emplace(group, share_picker{random_()}).first;
     }
-    const auto shares = options_.shares(state.route.route);
+    const auto shares = options_.shares(state.route);
     const auto usable = [this, &state](const upstream_version& version) {
         return std::ranges::find(state.refused_versions, version) == state.refused_versions.end() &&
                !options_.candidates(state.route.service, version).empty();
@@ -80,7 +92,7 @@
     auto earns = first;
     while (const auto version = pick_version(state, std::exchange(earns, false))) {
         const auto terms = options_.terms({.route = state.route.route, .version = *version});
-        const auto idempotent = terms.idempotent || is_safe_method(state.request.method);
+        const auto idempotent = terms.idempotent || (terms.safe_methods && is_safe_method(state.request.method));
         // Rows of a route may differ: a request that may have run goes on only to versions that may repeat it.
         const auto permitted = idempotent || !state.may_have_run;
         const auto target = permitted ? pick_node(state, *version, terms, now) : std::nullopt;
@@ -95,13 +107,15 @@
                          .target = *target,
                          .target_life = options_.life_of(*target),
                          .version = *version,
-                         .idempotent = idempotent};
+                         .idempotent = idempotent,
+                         .terms = terms};
         state.tried.push_back(*target);
         attempts_.emplace(last_sequence_, key);
         selector(state.route.service, *version).on_started(*target);
         if (*target != options_.self) {
             peers_.add(*target, last_sequence_, now.steady);
         }
+        report(state, call_step::sent, refusal_reason::none, run_state::unknown);
         transmit(state, terms, now);
         return true;
     }
@@ -117,6 +131,8 @@
                             .version = state.current.version,
                             .idempotent = state.current.idempotent,
                             .limits = terms.limits,
+                            .objective = objective_left(state, terms, now),
+                            .priority = terms.priority,
                             .call = state.request};
     request.call.timeout = left - std::min(reply_allowance, left / reply_allowance_part);
     options_.send(state.current.target, std::move(request));
@@ -135,37 +151,47 @@
     if (refusal.state != run_state::not_run) {
         state.may_have_run = true;
     }
+    state.current.reached_upstream =
+        refusal.state != run_state::not_run || refusal.reason == refusal_reason::upstream_rejected;
     if (refusal.reason == refusal_reason::upstream_failing) {
         state.refused_versions.push_back(state.current.version);
     }
     const auto repeatable = refusal.state == run_state::not_run || state.current.idempotent;
     if (!repeatable || final_everywhere(refusal.reason)) {
-        refuse(found, refusal.reason, refusal.state);
+        refuse(found, refusal);
         return;
     }
     const auto failure = retry(found, reason, now);
     if (failure == refusal_reason::none) {
         return;
     }
-    refuse(found, failure == refusal_reason::retry_budget_exhausted ? failure : refusal.reason, refusal.state);
+    auto last = refusal;
+    if (failure == refusal_reason::retry_budget_exhausted) {
+        last.reason = failure;
+    }
+    refuse(found, last);
 }
 
 refusal_reason call_dispatcher::retry(const call_map::iterator found, const retry_reason reason,
                                       const time_sample now) {
     auto& state = found->second;
-    if (state.retries >= options_.max_retries || state.deadline <= now.steady) {
+    const auto redirect = !state.current.reached_upstream && state.redirects < options_.max_redirects;
+    const auto most_attempts = state.current.terms.max_attempts;
+    const auto used_up =
+        state.retries >= options_.max_retries || (most_attempts != 0 && state.retries + 1 >= most_attempts);
+    if ((!redirect && used_up) || state.deadline <= now.steady) {
         return refusal_reason::deadline_passed;
     }
     if (!options_.invariants->check(invariant_id::at_most_once, state.current.idempotent || !state.may_have_run)) {
         return refusal_reason::duplicate;
     }
-    if (!service(state.route.service).retries.spend(now)) {
+    if (!redirect && !service(state.route.service).retries.spend(now)) {
         return refusal_reason::retry_budget_exhausted;
     }
     if (!send_attempt(found->first, state, false, now)) {
         return refusal_reason::no_upstream;
     }
-    ++state.retries;
+    ++(redirect ? state.redirects : state.retries);
     options_.counts->retries.add(reason);
     return refusal_reason::none;
 }
@@ -177,17 +203,48 @@
     options_.reply(call_id{key}, result);
 }
 
-void call_dispatcher::refuse(const call_map::iterator found, const refusal_reason reason, const run_state state) {
+void call_dispatcher::refuse(const call_map::iterator found, const call_refusal& refusal) {
+    auto& state = found->second;
+    if (state.failed_answer) {
+        ++options_.counts->answered;
+        report(state, call_step::answered, refusal.reason, run_state::ran);
+        finish(found, std::exchange(state.failed_answer, std::nullopt).value());
+        return;
+    }
     const auto key = found->first;
-    const auto known = found->second.may_have_run && state == run_state::not_run ? run_state::unknown : state;
-    deadlines_.erase({found->second.deadline, key});
+    auto known = refusal;
+    if (state.may_have_run && refusal.state == run_state::not_run) {
+        known.state = run_state::unknown;
+    }
+    report(state, call_step::refused, known.reason, known.state);
+    deadlines_.erase({state.deadline, key});
     calls_.erase(found);
-    reply_refusal(key, reason, known);
+    reply_refusal(key, known);
 }
 
-void call_dispatcher::reply_refusal(const std::uint64_t key, const refusal_reason reason, const run_state state) {
-    options_.counts->refusals.add(reason);
-    options_.reply(call_id{key}, call_refusal{.reason = reason, .state = state});
+void call_dispatcher::reply_refusal(const std::uint64_t key, call_refusal refusal) {
+    options_.counts->refusals.add(refusal.reason);
+    if (refusal.state == run_state::not_run && refusal.retry_after == std::chrono::milliseconds{}) {
+        refusal.retry_after = options_.retry_after;
+    }
+    options_.reply(call_id{key}, refusal);
+}
+
+void call_dispatcher::report(const call_state& state, const call_step step, const refusal_reason reason,
+                             const run_state run) const {
+    if (!options_.report) {
+        return;
+    }
+    options_.report({.step = step,
+                     .request_id = state.request.request_id,
+                     .route = state.route.route,
+                     .service = state.route.service,
+                     .version = state.current.version,
+                     .target = state.current.target,
+                     .tries = state.retries + state.redirects + 1,
+                     .reason = reason,
+                     .run = run,
+                     .started = state.started});
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/call/call_dispatcher_options.hpp
+++ b/src/goldcrestwell/core/call/call_dispatcher_options.hpp
@@ -7,6 +7,7 @@
 #include "goldcrestwell/core/common/incarnation.hpp"
 #include "goldcrestwell/core/common/invariant_monitor.hpp"
 #include "goldcrestwell/core/common/node_id.hpp"
+#include "goldcrestwell/core/message/call_event.hpp"
 #include "goldcrestwell/core/message/call_result.hpp"
 #include "goldcrestwell/core/message/peer_message.hpp"
 #include "goldcrestwell/core/message/row_key.hpp"
@@ -44,12 +45,16 @@
     std::chrono::milliseconds silent_after{1'000};
     std::uint32_t max_hops{8};
     std::uint32_t max_retries{2};
+    /** @brief Further tries of a call after refusals that reached no upstream; these cost no retry budget. */
+    std::uint32_t max_redirects{0};
+    /** @brief Stated in a refusal of a call that was not run, if nothing better is known; zero states none. */
+    std::chrono::milliseconds retry_after{};
     retry_budget_options retries;
     upstream_selector_options selection;
 
-    std::function<std::optional<route_view>(std::string_view path)> find_route;
+    std::function<std::optional<route_view>(const call_request& call)> find_route;
     std::function<row_terms(const row_key&)> terms;
-    std::function<std::vector<version_share>(const route_name&)> shares;
+    std::function<std::vector<version_share>(const route_view&)> shares;
     /** @brief Live candidates, own data centre first; the span stays valid until the event returns. */
     std::function<std::span<const upstream_candidate>(const service_name&, const upstream_version&)> candidates;
     /** @brief Life of a target as this node knows it. */
@@ -60,6 +65,8 @@
     std::function<void(node_id)> replace_connection;
     /** @brief Called exactly once for each call that is not cancelled, possibly before `start` returns. */
     std::function<void(call_id, const call_result&)> reply;
+    /** @brief Reports decisions about calls; may be empty. */
+    std::function<void(const call_event&)> report;
     counters* counts{};
     invariant_monitor* invariants{};
 };
--- a/src/goldcrestwell/core/call/route_view.hpp
+++ b/src/goldcrestwell/core/call/route_view.hpp
@@ -9,6 +9,8 @@
 struct route_view {
     route_name route;
     service_name service;
+    /** @brief Shares of versions are kept over all routes of the service together, not for each route. */
+    bool shares_by_service{};
 
     [[nodiscard]] friend bool operator==(const route_view&, const route_view&) = default;
 };
--- a/src/goldcrestwell/core/common/refusal_reason.cpp
+++ b/src/goldcrestwell/core/common/refusal_reason.cpp
@@ -31,7 +31,9 @@
                                                                    "answer_truncated",
                                                                    "answer_too_large",
                                                                    "peer_lost",
-                                                                   "peer_restarted"};
+                                                                   "peer_restarted",
+                                                                   "upstream_rejected",
+                                                                   "answer_invalid"};
 
 } // namespace
 
--- a/src/goldcrestwell/core/common/refusal_reason.hpp
+++ b/src/goldcrestwell/core/common/refusal_reason.hpp
@@ -35,10 +35,12 @@
     answer_too_large,
     peer_lost,
     peer_restarted,
+    upstream_rejected,
+    answer_invalid,
 };
 
 /** @brief Number of enumerators of `refusal_reason`. */
-inline constexpr std::size_t refusal_reason_count = 26;
+inline constexpr std::size_t refusal_reason_count = 28;
 
 /** @return The name used in logs, metrics and headers. */
 [[nodiscard]] std::string_view to_string(refusal_reason value) noexcept;
--- /dev/null
+++ b/src/goldcrestwell/core/config/document_register.cpp
@@ -0,0 +1,68 @@
+#include "goldcrestwell/core/config/document_register.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace goldcrestwell {
+
+document_register::document_register(document_register_options options) : options_{std::move(options)} {}
+
+void document_register::on_records(const std::span<const operator_record> records, const log_offset through) {
+    std::vector<const operator_record*> ordered;
+    ordered.reserve(records.size());
+    for (const auto& record : records) {
+        ordered.push_back(&record);
+    }
+    std::ranges::stable_sort(ordered, {}, &operator_record::offset);
+    position_ = std::max(position_, through);
+    if (pull_ && pull_->position <= position_) {
+        pull_.reset();
+    }
+    for (const auto* record : ordered) {
+        auto& known = newest_[record->key];
+        if (record->offset > known.offset) {
+            known = *record;
+            options_.changed(known);
+        }
+    }
+}
+
+void document_register::on_peer_position(const node_id from, const log_offset position, const steady_time now) {
+    if (position <= position_) {
+        return;
+    }
+    if (!pull_) {
+        pull_ = pending_pull{.from = from, .position = position, .due = now + options_.pull_after};
+    } else if (position > pull_->position) {
+        pull_->from = from;
+        pull_->position = position;
+    }
+}
+
+void document_register::on_pull(const node_id from, const document_pull& pull) const {
+    document_batch batch{.through = position_};
+    for (const auto& [key, record] : newest_) {
+        if (record.offset > pull.after) {
+            batch.records.push_back(record);
+        }
+    }
+    options_.send_batch(from, batch);
+}
+
+void document_register::on_batch(const document_batch& batch) {
+    on_records(batch.records, batch.through);
+}
+
+void document_register::on_timer(const steady_time now) {
+    if (pull_ && now >= pull_->due) {
+        pull_->due = now + options_.pull_again;
+        options_.send_pull(pull_->from, {.after = position_});
+    }
+}
+
+std::optional<steady_time> document_register::next_timer() const noexcept {
+    return pull_ ? std::optional{pull_->due} : std::nullopt;
+}
+
+} // namespace goldcrestwell
--- a/src/goldcrestwell/core/membership/fwd.hpp
+++ b/src/goldcrestwell/core/membership/fwd.hpp
@@ -16,6 +16,7 @@
 class member_table;
 class membership;
 class move_cache;
+class node_directory;
 class peer_list;
 class region_watch;
 class seed_joiner;
--- a/src/goldcrestwell/core/membership/membership.cpp
+++ b/src/goldcrestwell/core/membership/membership.cpp
@@ -18,6 +18,10 @@
     state_->start(now);
 }
 
+void membership::set_seeds(std::vector<node_id> seeds, const time_sample now) {
+    state_->set_seeds(std::move(seeds), now);
+}
+
 void membership::on_datagram(const datagram& message, const time_sample now) {
     state_->on_datagram(message, now);
 }
--- a/src/goldcrestwell/core/membership/membership.hpp
+++ b/src/goldcrestwell/core/membership/membership.hpp
@@ -33,6 +33,8 @@
 
     /** @brief Makes this node known through its seeds and starts the timers. */
     void start(time_sample now);
+    /** @brief Replaces the nodes to contact while no other member is known. */
+    void set_seeds(std::vector<node_id> seeds, time_sample now);
     void on_datagram(const datagram& message, time_sample now);
     void on_sync(node_id from, const sync_digest& digest, time_sample now);
     void on_sync(node_id from, const sync_state& state, time_sample now);
--- a/src/goldcrestwell/core/membership/membership_state.cpp
+++ b/src/goldcrestwell/core/membership/membership_state.cpp
@@ -115,6 +115,13 @@
     spread(self(), false);
 }
 
+void membership_state::set_seeds(std::vector<node_id> seeds, const time_sample now) {
+    enter(now.steady);
+    std::erase(seeds, self_);
+    options_.seeds = seeds;
+    joiner_.set_seeds(std::move(seeds), now_);
+}
+
 void membership_state::on_timer(const time_sample now) {
     enter(now.steady);
     if (!started_) {
--- a/src/goldcrestwell/core/membership/membership_state.hpp
+++ b/src/goldcrestwell/core/membership/membership_state.hpp
@@ -28,6 +28,7 @@
     explicit membership_state(membership_options options);
 
     void start(time_sample now);
+    void set_seeds(std::vector<node_id> seeds, time_sample now);
     void on_datagram(const datagram& message, time_sample now);
     void on_sync(node_id from, const sync_digest& digest, time_sample now);
     void on_sync(node_id from, const sync_state& state, time_sample now);
--- a/src/goldcrestwell/core/membership/membership_timing.hpp
+++ b/src/goldcrestwell/core/membership/membership_timing.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_CORE_MEMBERSHIP_MEMBERSHIP_TIMING_HPP
 
 #include <chrono>
+#include <cstddef>
 
 namespace goldcrestwell {
 
@@ -24,6 +25,8 @@
     /** @brief First retry of a join; doubles up to `join_backoff_limit`. */
     std::chrono::milliseconds join_backoff{1000};
     std::chrono::milliseconds join_backoff_limit{30'000};
+    /** @brief Seeds contacted at the same time while no member is known. */
+    std::size_t join_fan_out{1};
     /** @brief Time between two pings to members believed dead or to seeds that are not members. */
     std::chrono::milliseconds reconnect_interval{30'000};
     /** @brief How late its own timer may be before a node takes itself to have been paused. */
--- a/src/goldcrestwell/core/membership/seed_joiner.cpp
+++ b/src/goldcrestwell/core/membership/seed_joiner.cpp
@@ -15,6 +15,13 @@
     next_ = now + random_part(options_.timing.join_backoff);
 }
 
+void seed_joiner::set_seeds(std::vector<node_id> seeds, const steady_time now) {
+    options_.seeds = std::move(seeds);
+    std::shuffle(options_.seeds.begin(), options_.seeds.end(), random_);
+    backoff_ = options_.timing.join_backoff;
+    next_ = now;
+}
+
 void seed_joiner::on_timer(const steady_time now) {
     if (!next_ || now < *next_) {
         return;
@@ -30,7 +37,9 @@
     next_ = now + backoff_ / 2 + random_part(backoff_);
     backoff_ = std::min(backoff_ * 2, options_.timing.join_backoff_limit);
     if (!options_.seeds.empty()) {
-        options_.ping(options_.seeds[cursor_++ % options_.seeds.size()]);
+        for (std::size_t i = 0; i < std::min(options_.timing.join_fan_out, options_.seeds.size()); ++i) {
+            options_.ping(options_.seeds[cursor_++ % options_.seeds.size()]);
+        }
         return;
     }
     const auto lost = options_.lost();
--- a/src/goldcrestwell/core/membership/seed_joiner.hpp
+++ b/src/goldcrestwell/core/membership/seed_joiner.hpp
@@ -36,6 +36,8 @@
     explicit seed_joiner(seed_joiner_options options);
 
     void start(steady_time now);
+    /** @brief Replaces the seeds and contacts the first of them at once. */
+    void set_seeds(std::vector<node_id> seeds, steady_time now);
     void on_timer(steady_time now);
     [[nodiscard]] std::optional<steady_time> next_timer() const noexcept { return next_; }
 
--- a/src/goldcrestwell/core/message/attempt_request.hpp
+++ b/src/goldcrestwell/core/message/attempt_request.hpp
@@ -6,6 +6,9 @@
 #include "goldcrestwell/core/message/call_request.hpp"
 #include "goldcrestwell/core/message/row_limits.hpp"
 
+#include <chrono>
+#include <cstdint>
+
 namespace goldcrestwell {
 
 /** @brief Asks the node beside an upstream to run a call. */
@@ -19,6 +22,10 @@
     bool idempotent{};
     /** @brief The row's limits, taken from the table by the sender. */
     row_limits limits;
+    /** @brief Time left in which an answer has its full value to the caller; zero if the route names none. */
+    std::chrono::milliseconds objective{};
+    /** @brief Rank of the route; 0 is the most urgent. */
+    std::uint32_t priority{};
     call_request call;
 
     [[nodiscard]] friend bool operator==(const attempt_request&, const attempt_request&) = default;
--- a/src/goldcrestwell/core/message/call_observation.hpp
+++ b/src/goldcrestwell/core/message/call_observation.hpp
@@ -11,6 +11,8 @@
 struct call_observation {
     row_key row;
     bool failed{};
+    /** @brief The connection ended before a whole answer. */
+    bool connection_lost{};
     std::chrono::microseconds latency{};
     /** @brief The upstream was starting; the latency says nothing about the version. */
     bool cold{};
--- a/src/goldcrestwell/core/message/call_refusal.hpp
+++ b/src/goldcrestwell/core/message/call_refusal.hpp
@@ -4,12 +4,16 @@
 #include "goldcrestwell/core/common/refusal_reason.hpp"
 #include "goldcrestwell/core/common/run_state.hpp"
 
+#include <chrono>
+
 namespace goldcrestwell {
 
 /** @brief A call that got no answer, and what is known about it. */
 struct call_refusal {
     refusal_reason reason{};
     run_state state{run_state::not_run};
+    /** @brief When the caller may try again with a chance of room; zero if nothing is known. */
+    std::chrono::milliseconds retry_after{};
 
     [[nodiscard]] friend bool operator==(const call_refusal&, const call_refusal&) = default;
 };
--- a/src/goldcrestwell/core/message/call_request.hpp
+++ b/src/goldcrestwell/core/message/call_request.hpp
@@ -13,6 +13,10 @@
 /** @brief A caller's request as it travels between nodes; the body is whole. */
 struct call_request {
     std::string method;
+    /** @brief Host that the caller addressed, without a port; empty if routes do not depend on it. */
+    std::string host;
+    /** @brief Id that the caller gave the request, for logs; empty if it gave none. */
+    std::string request_id;
     /** @brief Path and query. */
     std::string target;
     std::vector<http_header> headers;
--- /dev/null
+++ b/src/goldcrestwell/core/message/operator_document.hpp
@@ -0,0 +1,16 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_OPERATOR_DOCUMENT_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_OPERATOR_DOCUMENT_HPP
+
+#include "goldcrestwell/core/message/rollout_order.hpp"
+#include "goldcrestwell/core/message/routing_config.hpp"
+
+#include <variant>
+
+namespace goldcrestwell {
+
+/** @brief A decoded record of the operators. */
+using operator_document = std::variant<routing_config, rollout_order>;
+
+} // namespace goldcrestwell
+
+#endif
--- a/src/goldcrestwell/core/message/peer_message.hpp
+++ b/src/goldcrestwell/core/message/peer_message.hpp
@@ -7,6 +7,8 @@
 #include "goldcrestwell/core/message/attempt_request.hpp"
 #include "goldcrestwell/core/message/attempt_status.hpp"
 #include "goldcrestwell/core/message/config_pull.hpp"
+#include "goldcrestwell/core/message/document_batch.hpp"
+#include "goldcrestwell/core/message/document_pull.hpp"
 #include "goldcrestwell/core/message/evidence_report.hpp"
 #include "goldcrestwell/core/message/heartbeat.hpp"
 #include "goldcrestwell/core/message/hello.hpp"
@@ -23,7 +25,7 @@
 /** @brief Any frame between two nodes. */
 using peer_message = std::variant<hello, heartbeat, heartbeat_ack, attempt_request, attempt_reply, attempt_query,
                                   attempt_status, attempt_cancel, config_pull, record_batch, evidence_report,
-                                  sync_digest, sync_state, sync_list, sync_request>;
+                                  sync_digest, sync_state, sync_list, sync_request, document_pull, document_batch>;
 
 } // namespace goldcrestwell
 
--- /dev/null
+++ b/src/goldcrestwell/core/message/routing_config.hpp
@@ -0,0 +1,25 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_ROUTING_CONFIG_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_ROUTING_CONFIG_HPP
+
+#include "goldcrestwell/core/message/caller_limits.hpp"
+#include "goldcrestwell/core/message/route_rule.hpp"
+#include "goldcrestwell/core/message/service_rule.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief An operator's whole configuration; a higher version replaces a lower one. */
+struct routing_config {
+    std::uint64_t version{};
+    std::vector<route_rule> routes;
+    std::vector<service_rule> services;
+    caller_limits limits;
+
+    [[nodiscard]] friend bool operator==(const routing_config&, const routing_config&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/message/service_rule.hpp
@@ -0,0 +1,23 @@
+#ifndef GOLDCRESTWELL_CORE_MESSAGE_SERVICE_RULE_HPP
+#define GOLDCRESTWELL_CORE_MESSAGE_SERVICE_RULE_HPP
+
+#include "goldcrestwell/core/common/names.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace goldcrestwell {
+
+/** @brief What an operator's configuration says about the upstreams of a service. */
+struct service_rule {
+    service_name name;
+    std::string health_path;
+    /** @brief Connections that one upstream accepts from all callers together. */
+    std::uint32_t max_connections{};
+
+    [[nodiscard]] friend bool operator==(const service_rule&, const service_rule&) = default;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- a/src/goldcrestwell/core/message/upstream_result.hpp
+++ b/src/goldcrestwell/core/message/upstream_result.hpp
@@ -7,8 +7,21 @@
 
 namespace goldcrestwell {
 
-/** @brief How a request to an upstream ended. */
-enum class upstream_outcome : std::uint8_t { answered, not_sent, timed_out, reset, truncated, too_large };
+/**
+ * @brief How a request to an upstream ended.
+ *
+ * `rejected`: the upstream says that it did not run the request; `invalid`: the bytes are not a whole answer to it.
+ */
+enum class upstream_outcome : std::uint8_t {
+    answered,
+    not_sent,
+    timed_out,
+    reset,
+    truncated,
+    too_large,
+    rejected,
+    invalid
+};
 
 /** @brief Outcome of a request to an upstream, with the answer if it is whole. */
 struct upstream_result {
--- a/src/goldcrestwell/core/node/candidate_index.cpp
+++ b/src/goldcrestwell/core/node/candidate_index.cpp
@@ -21,6 +21,7 @@
     auto since = now;
     if (known != places_.end()) {
         const auto same_upstream = takes_work(record) && known->second.life == record.life &&
+                                   known->second.generation == record.upstream->generation &&
                                    known->second.key == key_type{record.upstream->service, record.upstream->version};
         if (same_upstream) {
             since = known->second.since;
@@ -35,7 +36,8 @@
         .node = record.id, .slots = record.upstream->slots, .local = record.data_centre == own_, .since = since};
     auto& group = candidates_[key];
     group.insert(std::upper_bound(group.begin(), group.end(), entry, precedes), entry);
-    places_.insert_or_assign(record.id, place{.key = key, .life = record.life, .since = since});
+    places_.insert_or_assign(
+        record.id, place{.key = key, .life = record.life, .generation = record.upstream->generation, .since = since});
 }
 
 std::span<const upstream_candidate> candidate_index::find(const service_name& service,
--- a/src/goldcrestwell/core/node/candidate_index.hpp
+++ b/src/goldcrestwell/core/node/candidate_index.hpp
@@ -8,6 +8,7 @@
 #include "goldcrestwell/core/routing/upstream_candidate.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <span>
 #include <utility>
@@ -37,6 +38,7 @@
     struct place {
         key_type key;
         incarnation life;
+        std::uint64_t generation{};
         steady_time since;
     };
 
--- a/src/goldcrestwell/core/node/fwd.hpp
+++ b/src/goldcrestwell/core/node/fwd.hpp
@@ -4,8 +4,13 @@
 namespace goldcrestwell {
 
 class node;
+class operator_source;
 struct node_hooks;
 struct node_options;
+struct operator_source_hooks;
+struct operator_source_options;
+class upstream_registry;
+struct upstream_registry_options;
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -11,18 +11,29 @@
       membership_{make_membership_options()}, follower_{make_follower_options()}, rollout_{make_rollout_options()},
       dispatcher_{make_dispatcher_options()}, ledger_{make_ledger_options()}, edits_{
                                                                                   {.append_record =
-                                                                                       options_.hooks.append_record}} {}
+                                                                                       options_.hooks.append_record}} {
+    if (options_.operators) {
+        operators_.emplace(*options_.operators, make_operator_links());
+        directory_.emplace(make_directory_options());
+    }
+}
 
 void node::start(const time_sample now) {
     now_ = now;
+    started_ = now.steady;
     membership_.start(now);
-    follower_.start(now);
+    if (operators_) {
+        directory_->start();
+        operators_->start();
+    } else {
+        follower_.start(now);
+    }
     settle();
 }
 
 call_id node::on_call(call_request call, reply_hook reply_to, const time_sample now) {
     now_ = now;
-    if (drain_started_) {
+    if (refuses_work()) {
         refuse(reply_to, refusal_reason::draining);
         return call_id{};
     }
@@ -94,6 +105,11 @@
     if (drain_started_) {
         return;
     }
+    if (withdraw_at_ && upstream_ == upstream) {
+        // A late announcement of an upstream that has said it leaves.
+        return;
+    }
+    withdraw_at_.reset();
     if (upstream_ != upstream) {
         upstream_ = upstream;
         ledger_.set_upstream(upstream, now);
@@ -104,6 +120,7 @@
 
 void node::on_withdraw(const time_sample now) {
     now_ = now;
+    withdraw_at_.reset();
     if (upstream_) {
         upstream_.reset();
         membership_.withdraw(now);
@@ -112,6 +129,15 @@
     settle();
 }
 
+void node::on_leaving(const time_sample now) {
+    now_ = now;
+    if (upstream_ && !withdraw_at_) {
+        withdraw_at_ = now.steady + options_.leave_grace;
+        membership_.withdraw(now);
+    }
+    settle();
+}
+
 void node::on_edit(const table_edit& edit, edit_tracker::decision_hook decided, const time_sample now) {
     now_ = now;
     edits_.submit(edit, std::move(decided), now.steady);
@@ -127,9 +153,16 @@
     dispatcher_.on_timer(now);
     ledger_.on_timer(now);
     edits_.on_timer(now.steady);
-    if (upstream_ && now.steady >= announcement_expires_) {
+    if (operators_) {
+        operators_->on_timer(now);
+        directory_->on_timer(now.steady);
+    }
+    if (upstream_ && (now.steady >= announcement_expires_ || (withdraw_at_ && now.steady >= *withdraw_at_))) {
         on_withdraw(now);
     }
+    if (refuses_work()) {
+        ledger_.drain(now);
+    }
     settle();
 }
 
@@ -138,7 +171,9 @@
     if (!drain_started_) {
         drain_started_ = now.steady;
         membership_.leave(now);
-        ledger_.drain(now);
+        if (refuses_work()) {
+            ledger_.drain(now);
+        }
     }
     settle();
 }
@@ -171,14 +206,14 @@
     }
     settling_ = false;
     if (ready() && !std::exchange(ready_reported_, true)) {
-        options_.hooks.event(became_ready{.position = follower_.position()});
+        options_.hooks.event(became_ready{.position = position()});
     }
     update_timer();
 }
 
 void node::advertise_position() {
-    if (follower_.position() > advertised_position_) {
-        advertised_position_ = follower_.position();
+    if (position() > advertised_position_) {
+        advertised_position_ = position();
         membership_.set_position(advertised_position_, now_);
     }
 }
@@ -204,8 +239,19 @@
     consider(dispatcher_.next_timer());
     consider(ledger_.next_timer());
     consider(edits_.next_timer());
+    if (operators_) {
+        consider(operators_->next_timer());
+        consider(directory_->next_timer());
+    }
     if (upstream_) {
         consider(announcement_expires_);
+        consider(withdraw_at_);
+    }
+    if (drain_started_ && !refuses_work()) {
+        consider(*drain_started_ + options_.drain_notice);
+    }
+    if (!ready() && now_.steady < started_ + options_.lonely_start) {
+        consider(started_ + options_.lonely_start);
     }
     return next;
 }
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -10,6 +10,7 @@
 #include "goldcrestwell/core/common/time.hpp"
 #include "goldcrestwell/core/config/config_follower.hpp"
 #include "goldcrestwell/core/membership/membership.hpp"
+#include "goldcrestwell/core/membership/node_directory.hpp"
 #include "goldcrestwell/core/message/call_request.hpp"
 #include "goldcrestwell/core/message/call_result.hpp"
 #include "goldcrestwell/core/message/table_edit.hpp"
@@ -17,6 +18,7 @@
 #include "goldcrestwell/core/node/candidate_index.hpp"
 #include "goldcrestwell/core/node/edit_tracker.hpp"
 #include "goldcrestwell/core/node/node_options.hpp"
+#include "goldcrestwell/core/node/operator_source.hpp"
 #include "goldcrestwell/core/rollout/rollout_engine.hpp"
 #include "goldcrestwell/core/routing/route_table.hpp"
 
@@ -26,6 +28,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -71,14 +74,28 @@
     void on_announce(const upstream_info& upstream, time_sample now);
     /** @brief The upstream beside the node takes no more work. */
     void on_withdraw(time_sample now);
+    /** @brief The upstream is about to leave: other nodes learn it now, its own work ends after `leave_grace`. */
+    void on_leaving(time_sample now);
     /** @brief An operator's edit; the hook gets the verdict, or nothing if the outcome is unknown. */
     void on_edit(const table_edit& edit, edit_tracker::decision_hook decided, time_sample now);
     void on_timer(time_sample now);
-    /** @brief Refuses new work from now on and finishes the rest. */
+    /** @brief Refuses new work, from the end of `drain_notice` on, and finishes the rest. */
     void on_drain(time_sample now);
 
+    /** @brief A read of the operators' topic ended; for nodes with `operators` set, like the next three. */
+    void on_store_page(const store_page& page, time_sample now);
+    /** @brief A read of the recorded states of rollouts ended; nothing if it failed. */
+    void on_statuses(const std::optional<std::vector<rollout_status>>& statuses, log_offset end, time_sample now);
+    /** @brief A write of a rollout's state ended; false if it was refused or its outcome is unknown. */
+    void on_status_written(bool confirmed, time_sample now);
+    /** @brief A write of this node's directory entry ended. */
+    void on_entry_written(bool confirmed, time_sample now);
+    /** @brief A read of the directory ended; nothing if it failed. */
+    void on_entries(const std::optional<std::vector<node_id>>& entries, time_sample now);
+
     /** @return True if the node has a configuration that it may serve. */
-    [[nodiscard]] bool ready() const noexcept { return follower_.ready(); }
+    [[nodiscard]] bool ready() const noexcept;
+    [[nodiscard]] bool draining() const noexcept { return drain_started_.has_value(); }
     /** @return True once a drain is complete and the process may end. */
     [[nodiscard]] bool drained(time_sample now) const noexcept;
     /** @return Calls that would be cut if the process ended now. */
@@ -94,6 +111,8 @@
     [[nodiscard]] const membership& members() const noexcept { return membership_; }
     [[nodiscard]] const config_follower& follower() const noexcept { return follower_; }
     [[nodiscard]] const rollout_engine& rollout() const noexcept { return rollout_; }
+    /** @return Null for a node whose configuration is its own table. */
+    [[nodiscard]] const operator_source* operators() const noexcept { return operators_ ? &*operators_ : nullptr; }
     [[nodiscard]] const std::optional<upstream_info>& upstream() const noexcept { return upstream_; }
 
 private:
@@ -108,6 +127,8 @@
     [[nodiscard]] rollout_engine_options make_rollout_options();
     [[nodiscard]] call_dispatcher_options make_dispatcher_options();
     [[nodiscard]] attempt_ledger_options make_ledger_options();
+    [[nodiscard]] operator_source_links make_operator_links();
+    [[nodiscard]] node_directory_options make_directory_options();
 
     void queue(task work) { tasks_.push_back(std::move(work)); }
     /** @brief Runs what the hooks queued, then passes on the position and asks for the next timer. */
@@ -131,6 +152,8 @@
     void handle(node_id from, const sync_state& message);
     void handle(node_id from, const sync_list& message);
     void handle(node_id from, const sync_request& message);
+    void handle(node_id from, const document_pull& message);
+    void handle(node_id from, const document_batch& message);
 
     /** @brief Sends a frame of a call; to this node itself it goes through the queue. */
     void send_call_frame(node_id to, const peer_message& message);
@@ -142,7 +165,17 @@
     void reply(call_id call, const call_result& result);
     void refuse(const reply_hook& hook, refusal_reason reason);
     [[nodiscard]] bool taking_work(node_id target) const;
-    [[nodiscard]] std::optional<route_view> find_route(std::string_view path) const;
+    [[nodiscard]] std::optional<route_view> find_route(const call_request& call);
+    [[nodiscard]] std::vector<version_share> shares_of(const route_view& route) const;
+    [[nodiscard]] std::span<const upstream_candidate> candidates_of(const service_name& service,
+                                                                    const upstream_version& version) const;
+    [[nodiscard]] log_offset position() const noexcept;
+    [[nodiscard]] bool refuses(const row_key& row);
+    void note_upstream(const member& record);
+    void receive_move(const move_update& update);
+    void receive_position(node_id from, log_offset position);
+    void observe(const call_observation& observation);
+    [[nodiscard]] bool refuses_work() const noexcept;
     [[nodiscard]] row_terms terms_of(const row_key& key) const;
 
     node_options options_;
@@ -163,10 +196,15 @@
     call_dispatcher dispatcher_;
     attempt_ledger ledger_;
     edit_tracker edits_;
+    std::optional<operator_source> operators_;
+    std::optional<node_directory> directory_;
 
     std::map<call_id, waiting_caller> callers_;
     std::optional<upstream_info> upstream_;
     steady_time announcement_expires_{};
+    /** @brief When the work of a leaving upstream ends. */
+    std::optional<steady_time> withdraw_at_;
+    steady_time started_{};
     std::optional<steady_time> drain_started_;
     log_offset advertised_position_;
     bool ready_reported_{};
--- a/src/goldcrestwell/core/node/node_event.hpp
+++ b/src/goldcrestwell/core/node/node_event.hpp
@@ -2,11 +2,15 @@
 #define GOLDCRESTWELL_CORE_NODE_NODE_EVENT_HPP
 
 #include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/message/call_event.hpp"
 #include "goldcrestwell/core/message/edit_verdict.hpp"
 #include "goldcrestwell/core/message/member.hpp"
 #include "goldcrestwell/core/message/move_update.hpp"
+#include "goldcrestwell/core/message/rollout_order.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <string>
 #include <variant>
 
 namespace goldcrestwell {
@@ -22,8 +26,33 @@
     log_offset position;
 };
 
+/** @brief A configuration of the operators is in force. */
+struct config_applied {
+    std::uint64_t version{};
+    std::size_t routes{};
+    /** @brief Position in the operators' topic up to which this node has read. */
+    log_offset position;
+};
+
+/** @brief Operators ordered a rollout. */
+struct rollout_ordered {
+    rollout_order order;
+};
+
+/** @brief The platform's store was lost or answers again. */
+struct store_changed {
+    bool reachable{};
+};
+
+/** @brief A record of the operators could not be decoded and was left out. */
+struct record_unreadable {
+    std::string key;
+    log_offset offset;
+};
+
 /** @brief Something worth a log line. */
-using node_event = std::variant<table_changed, became_ready, edit_verdict, member, move_update>;
+using node_event = std::variant<table_changed, became_ready, edit_verdict, member, move_update, call_event,
+                                config_applied, rollout_ordered, store_changed, record_unreadable>;
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -45,7 +45,23 @@
 }
 
 void node::handle(const node_id /*from*/, const evidence_report& message) {
-    rollout_.on_evidence(message, now_);
+    if (operators_) {
+        operators_->rollouts().on_evidence(message, now_);
+    } else {
+        rollout_.on_evidence(message, now_);
+    }
+}
+
+void node::handle(const node_id from, const document_pull& message) {
+    if (operators_) {
+        operators_->on_pull(from, message);
+    }
+}
+
+void node::handle(const node_id /*from*/, const document_batch& message) {
+    if (operators_) {
+        operators_->on_batch(message, now_);
+    }
 }
 
 void node::handle(const node_id from, const sync_digest& message) {
@@ -85,7 +101,7 @@
 
 void node::send_evidence(const node_id to, const evidence_report& report) {
     if (to == options_.self) {
-        queue([this, report] { rollout_.on_evidence(report, now_); });
+        queue([this, report] { handle(options_.self, report); });
         return;
     }
     if (membership_.spend(options_.hooks.frame_size(report), control_priority::evidence, now_)) {
@@ -110,6 +126,7 @@
 // Not queued: it changes no module, and a call dispatched later in the same event must not use the old candidates.
 void node::on_member(const member& record) {
     candidates_.update(record, now_.steady);
+    note_upstream(record);
     options_.hooks.event(record);
 }
 
@@ -140,8 +157,11 @@
     return record != nullptr && record->status == member_status::alive && record->upstream.has_value();
 }
 
-std::optional<route_view> node::find_route(const std::string_view path) const {
-    const auto* entry = routes_.find(path);
+std::optional<route_view> node::find_route(const call_request& call) {
+    if (operators_) {
+        return operators_->find_route(call);
+    }
+    const auto* entry = routes_.find(call.target);
     if (entry == nullptr) {
         return std::nullopt;
     }
@@ -149,6 +169,9 @@
 }
 
 row_terms node::terms_of(const row_key& key) const {
+    if (operators_) {
+        return operators_->terms(key);
+    }
     const auto* row = snapshot_ == nullptr ? nullptr : snapshot_->find_row(key);
     return row == nullptr ? row_terms{} : row_terms{.limits = row->values.limits, .idempotent = row->values.idempotent};
 }
--- a/src/goldcrestwell/core/node/node_hooks.hpp
+++ b/src/goldcrestwell/core/node/node_hooks.hpp
@@ -9,6 +9,7 @@
 #include "goldcrestwell/core/message/datagram.hpp"
 #include "goldcrestwell/core/message/log_record.hpp"
 #include "goldcrestwell/core/message/peer_message.hpp"
+#include "goldcrestwell/core/message/routing_config.hpp"
 #include "goldcrestwell/core/node/node_event.hpp"
 
 #include <chrono>
@@ -40,6 +41,8 @@
     std::function<void(const log_record& record)> append_record;
     /** @brief Asks for `node::on_timer` at that time; replaces an earlier request. */
     std::function<void(steady_time when)> wake_at;
+    /** @brief The operators' configuration changed, with limits that the listeners keep; only with `operators` set. */
+    std::function<void(const routing_config& config)> config_changed;
     /** @brief Reports something worth a log line. */
     std::function<void(const node_event& event)> event;
     /** @brief Reports a violated invariant. */
--- /dev/null
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -0,0 +1,175 @@
+// How a node works with the configuration of operators' documents in the platform's store.
+
+#include "goldcrestwell/core/node/node.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestwell {
+
+operator_source_links node::make_operator_links() {
+    return {
+        .seed = options_.seed,
+        .rollouts = {.self = options_.self,
+                     .nodes = [this] { return membership_.alive(); },
+                     .has_upstream =
+                         [this](const service_name& service, const upstream_version& version) {
+                             return !membership_.upstreams(service, version).empty();
+                         },
+                     .service_of =
+                         [this](const node_id id) {
+                             const auto* record = membership_.find(id);
+                             return record != nullptr && record->upstream ? record->upstream->service : service_name{};
+                         },
+                     .broadcast =
+                         [this](const move_update& update) {
+                             options_.hooks.event(update);
+                             queue([this, update] { membership_.broadcast(update, true, now_); });
+                         },
+                     .send_evidence =
+                         [this](const node_id to, const evidence_report& report) {
+                             send_evidence(to, report);
+                         }},
+        .send_pull = [this](const node_id to,
+                            const document_pull& pull) { send_control_frame(to, pull, control_priority::position); },
+        .send_batch =
+            [this](const node_id to, const document_batch& batch) {
+                send_control_frame(to, batch, control_priority::position);
+            },
+        .config_changed =
+            [this](const routing_config& config) {
+                options_.hooks.event(config_applied{
+                    .version = config.version, .routes = config.routes.size(), .position = operators_->position()});
+                options_.hooks.config_changed(config);
+            },
+        .order_changed =
+            [this](const rollout_order& order) {
+                options_.hooks.event(rollout_ordered{.order = order});
+                for (const auto& [id, record] : membership_.members()) {
+                    note_upstream(record);
+                }
+            },
+        .store_changed =
+            [this](const bool reachable) {
+                options_.hooks.event(goldcrestwell::store_changed{.reachable = reachable});
+            },
+        .unreadable =
+            [this](const operator_record& record) {
+                counts_.drops.add(drop_reason::record_unreadable);
+                options_.hooks.event(record_unreadable{.key = record.key, .offset = record.offset});
+            }};
+}
+
+node_directory_options node::make_directory_options() {
+    return {.seed = options_.seed,
+            .write_entry = options_.operators->hooks.write_entry,
+            .read_entries = options_.operators->hooks.read_entries,
+            .alone = [this] { return membership_.alive().size() <= 1; },
+            .found =
+                [this](std::vector<node_id> nodes) {
+                    membership_.set_seeds(std::move(nodes), now_);
+                }};
+}
+
+void node::on_store_page(const store_page& page, const time_sample now) {
+    now_ = now;
+    operators_->on_page(page, now);
+    settle();
+}
+
+void node::on_statuses(const std::optional<std::vector<rollout_status>>& statuses, const log_offset end,
+                       const time_sample now) {
+    now_ = now;
+    operators_->on_statuses(statuses, end, now);
+    settle();
+}
+
+void node::on_status_written(const bool confirmed, const time_sample now) {
+    now_ = now;
+    operators_->on_status_written(confirmed, now);
+    settle();
+}
+
+void node::on_entry_written(const bool confirmed, const time_sample now) {
+    now_ = now;
+    directory_->on_written(confirmed, now.steady);
+    settle();
+}
+
+void node::on_entries(const std::optional<std::vector<node_id>>& entries, const time_sample now) {
+    now_ = now;
+    directory_->on_entries(entries, now.steady);
+    settle();
+}
+
+// Without members a node knows no upstream but its own, so right after its start it would refuse what others can serve.
+bool node::ready() const noexcept {
+    if (!operators_) {
+        return follower_.ready();
+    }
+    const auto acquainted = candidates_.size() > 1 || now_.steady >= started_ + options_.lonely_start;
+    return operators_->config().has_value() && acquainted;
+}
+
+log_offset node::position() const noexcept {
+    return operators_ ? operators_->position() : follower_.position();
+}
+
+bool node::refuses_work() const noexcept {
+    return drain_started_ && now_.steady >= *drain_started_ + options_.drain_notice;
+}
+
+std::vector<version_share> node::shares_of(const route_view& route) const {
+    return operators_ ? operators_->rollouts().shares(route.service) : rollout_.shares(route.route);
+}
+
+// The small share of a version on trial goes to one upstream, the same for all nodes, because a fault that shows under
+// load only would not show if the share were spread.
+std::span<const upstream_candidate> node::candidates_of(const service_name& service,
+                                                        const upstream_version& version) const {
+    const auto all = candidates_.find(service, version);
+    if (all.empty() || !operators_ || !operators_->rollouts().on_trial(service, version)) {
+        return all;
+    }
+    const auto first = std::ranges::min_element(all, {}, &upstream_candidate::node);
+    return all.subspan(static_cast<std::size_t>(first - all.begin()), 1);
+}
+
+bool node::refuses(const row_key& row) {
+    if (operators_) {
+        return upstream_ && operators_->rollouts().withdrawn(upstream_->service, row.version);
+    }
+    return rollout_.refuses(row, now_);
+}
+
+void node::note_upstream(const member& record) {
+    if (operators_ && record.status == member_status::alive && record.upstream) {
+        operators_->rollouts().on_upstream(record.upstream->service, record.upstream->version);
+    }
+}
+
+void node::receive_move(const move_update& update) {
+    if (operators_) {
+        operators_->rollouts().on_update(update, now_);
+    } else {
+        rollout_.on_update(update, now_);
+    }
+}
+
+void node::receive_position(const node_id from, const log_offset position) {
+    if (operators_) {
+        operators_->on_peer_position(from, position, now_);
+    } else {
+        follower_.on_peer_position(from, position, now_);
+    }
+}
+
+void node::observe(const call_observation& observation) {
+    if (!operators_) {
+        rollout_.record(observation, now_);
+    } else if (upstream_) {
+        operators_->rollouts().record(upstream_->service, observation, now_);
+    }
+}
+
+} // namespace goldcrestwell
--- a/src/goldcrestwell/core/node/node_options.hpp
+++ b/src/goldcrestwell/core/node/node_options.hpp
@@ -6,12 +6,14 @@
 #include "goldcrestwell/core/common/node_id.hpp"
 #include "goldcrestwell/core/membership/membership_timing.hpp"
 #include "goldcrestwell/core/node/node_hooks.hpp"
+#include "goldcrestwell/core/node/operator_source_options.hpp"
 #include "goldcrestwell/core/rollout/schedule_limits.hpp"
 #include "goldcrestwell/core/routing/retry_budget.hpp"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace goldcrestwell {
@@ -21,6 +23,10 @@
     std::chrono::milliseconds default_timeout{10'000};
     std::uint32_t max_hops{8};
     std::uint32_t max_retries{2};
+    /** @brief Further tries after refusals that reached no upstream. */
+    std::uint32_t max_redirects{0};
+    /** @brief Time after which a refused caller may come back, if nothing better is known; zero states none. */
+    std::chrono::milliseconds retry_after{};
     retry_budget_options retries;
 };
 
@@ -58,6 +64,14 @@
     std::chrono::milliseconds announcement_expiry{5'000};
     /** @brief A draining node keeps refusing for this long, so that other nodes learn that it leaves. */
     std::chrono::milliseconds drain_linger{3'000};
+    /** @brief A draining node takes new work for this long, until callers and nodes have turned away from it. */
+    std::chrono::milliseconds drain_notice{};
+    /** @brief An upstream that leaves still gets the work that other nodes sent before they knew, for this long. */
+    std::chrono::milliseconds leave_grace{};
+    /** @brief Time after the start in which a node without any known member does not count as ready. */
+    std::chrono::milliseconds lonely_start{};
+    /** @brief Set if the configuration comes from operators' documents instead of the node's own table. */
+    std::optional<operator_source_options> operators;
     node_hooks hooks;
 };
 
--- a/src/goldcrestwell/core/node/node_wiring.cpp
+++ b/src/goldcrestwell/core/node/node_wiring.cpp
@@ -21,13 +21,12 @@
             .send_frame = options_.hooks.send_frame,
             .wire_size = options_.hooks.datagram_size,
             .member_changed = [this](const member& record) { on_member(record); },
-            .move_received =
-                [this](const move_update& update) { queue([this, update] { rollout_.on_update(update, now_); }); },
+            .move_received = [this](const move_update& update) { queue([this, update] { receive_move(update); }); },
             .position_received =
                 [this](const node_id from, const log_offset position) {
-                    queue([this, from, position] { follower_.on_peer_position(from, position, now_); });
+                    queue([this, from, position] { receive_position(from, position); });
                 },
-            .known_moves = [this] { return rollout_.moves(); },
+            .known_moves = [this] { return operators_ ? operators_->rollouts().moves() : rollout_.moves(); },
             .invariants = &invariants_};
 }
 
@@ -82,13 +81,15 @@
             .default_timeout = options_.calls.default_timeout,
             .max_hops = options_.calls.max_hops,
             .max_retries = options_.calls.max_retries,
+            .max_redirects = options_.calls.max_redirects,
+            .retry_after = options_.calls.retry_after,
             .retries = options_.calls.retries,
             .selection = {.seed = options_.seed},
-            .find_route = [this](const std::string_view path) { return find_route(path); },
+            .find_route = [this](const call_request& call) { return find_route(call); },
             .terms = [this](const row_key& key) { return terms_of(key); },
-            .shares = [this](const route_name& route) { return rollout_.shares(route); },
+            .shares = [this](const route_view& route) { return shares_of(route); },
             .candidates = [this](const service_name& service,
-                                 const upstream_version& version) { return candidates_.find(service, version); },
+                                 const upstream_version& version) { return candidates_of(service, version); },
             .life_of =
                 [this](const node_id target) {
                     const auto* record = membership_.find(target);
@@ -103,6 +104,7 @@
                 },
             .reply = [this](const call_id call,
                             const call_result& result) { queue([this, call, result] { reply(call, result); }); },
+            .report = [this](const call_event& event) { options_.hooks.event(event); },
             .counts = &counts_,
             .invariants = &invariants_};
 }
@@ -114,10 +116,8 @@
             .start_upstream = options_.hooks.start_upstream,
             .abort_upstream = options_.hooks.abort_upstream,
             .observe =
-                [this](const call_observation& observation) {
-                    queue([this, observation] { rollout_.record(observation, now_); });
-                },
-            .refuses = [this](const row_key& row) { return rollout_.refuses(row, now_); },
+                [this](const call_observation& observation) { queue([this, observation] { observe(observation); }); },
+            .refuses = [this](const row_key& row) { return refuses(row); },
             .counts = &counts_,
             .invariants = &invariants_};
 }
--- /dev/null
+++ b/src/goldcrestwell/core/node/operator_source.hpp
@@ -0,0 +1,87 @@
+#ifndef GOLDCRESTWELL_CORE_NODE_OPERATOR_SOURCE_HPP
+#define GOLDCRESTWELL_CORE_NODE_OPERATOR_SOURCE_HPP
+
+#include "goldcrestwell/core/call/route_view.hpp"
+#include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/config/document_register.hpp"
+#include "goldcrestwell/core/config/store_follower.hpp"
+#include "goldcrestwell/core/message/call_request.hpp"
+#include "goldcrestwell/core/message/row_key.hpp"
+#include "goldcrestwell/core/node/operator_source_options.hpp"
+#include "goldcrestwell/core/rollout/service_rollouts.hpp"
+#include "goldcrestwell/core/rollout/status_recorder.hpp"
+#include "goldcrestwell/core/routing/row_terms.hpp"
+#include "goldcrestwell/core/routing/rule_index.hpp"
+#include "goldcrestwell/core/routing/share_picker.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace goldcrestwell {
+
+/** @brief What an `operator_source` needs from its node; every hook must be set. */
+struct operator_source_links {
+    std::uint64_t seed{};
+    /** @brief Without `record_status`, which the source sets. */
+    service_rollout_options rollouts;
+    std::function<void(node_id to, const document_pull&)> send_pull;
+    std::function<void(node_id to, const document_batch&)> send_batch;
+    std::function<void(const routing_config&)> config_changed;
+    std::function<void(const rollout_order&)> order_changed;
+    std::function<void(bool reachable)> store_changed;
+    /** @brief A record could not be decoded. */
+    std::function<void(const operator_record&)> unreadable;
+};
+
+/** @brief Configuration and rollouts in force, from operators' documents in the store or from peers that read them. */
+class operator_source {
+public:
+    operator_source(operator_source_options options, operator_source_links links);
+
+    void start();
+    void on_page(const store_page& page, time_sample now);
+    /** @param statuses Recorded states of rollouts; nothing if the read failed. */
+    void on_statuses(const std::optional<std::vector<rollout_status>>& statuses, log_offset end, time_sample now);
+    void on_status_written(bool confirmed, time_sample now);
+    void on_peer_position(node_id from, log_offset position, time_sample now);
+    void on_pull(node_id from, const document_pull& pull) const { register_.on_pull(from, pull); }
+    void on_batch(const document_batch& batch, time_sample now);
+    void on_timer(time_sample now);
+    [[nodiscard]] std::optional<steady_time> next_timer() const;
+
+    /** @return The route of a call with the service that its split chooses. */
+    [[nodiscard]] std::optional<route_view> find_route(const call_request& call);
+    [[nodiscard]] row_terms terms(const row_key& row) const;
+    [[nodiscard]] const std::optional<routing_config>& config() const noexcept { return config_; }
+    /** @return Position in the operators' topic that is in force here. */
+    [[nodiscard]] log_offset position() const noexcept { return register_.position(); }
+    [[nodiscard]] bool store_reachable() const noexcept { return follower_.reachable(); }
+    [[nodiscard]] service_rollouts& rollouts() noexcept { return rollouts_; }
+    [[nodiscard]] const service_rollouts& rollouts() const noexcept { return rollouts_; }
+
+private:
+    void take(const operator_record& record);
+    void apply(const routing_config& config, const operator_record& record);
+    void apply(const rollout_order& order, const operator_record& record);
+    [[nodiscard]] service_name choose_service(const route_rule& rule);
+
+    operator_source_options options_;
+    operator_source_links links_;
+    std::mt19937_64 random_;
+    time_sample now_{};
+    std::optional<routing_config> config_;
+    rule_index rules_;
+    std::map<route_name, share_picker> splits_;
+    document_register register_;
+    store_follower follower_;
+    status_recorder recorder_;
+    service_rollouts rollouts_;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/node/operator_source_options.hpp
@@ -0,0 +1,40 @@
+#ifndef GOLDCRESTWELL_CORE_NODE_OPERATOR_SOURCE_OPTIONS_HPP
+#define GOLDCRESTWELL_CORE_NODE_OPERATOR_SOURCE_OPTIONS_HPP
+
+#include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/message/operator_document.hpp"
+#include "goldcrestwell/core/message/operator_record.hpp"
+#include "goldcrestwell/core/message/rollout_status.hpp"
+
+#include <chrono>
+#include <functional>
+#include <optional>
+
+namespace goldcrestwell {
+
+/** @brief Calls to the platform's store; results come back as events of the node, never from inside a hook. */
+struct operator_source_hooks {
+    /** @brief Reads the newest record of each key of the operators' topic. */
+    std::function<void()> read_newest;
+    /** @brief Reads the operators' records after a position, waiting for new ones. */
+    std::function<void(log_offset after, std::chrono::milliseconds wait)> read_after;
+    /** @brief Decodes a record; nothing if it is unreadable or of no interest. */
+    std::function<std::optional<operator_document>(const operator_record&)> decode;
+    /** @brief Reads the recorded states of rollouts. */
+    std::function<void()> read_statuses;
+    /** @brief Records a state of a rollout if the topic of states ends at that position. */
+    std::function<void(const rollout_status& status, log_offset at)> write_status;
+    /** @brief Writes this node's entry to the directory of nodes. */
+    std::function<void()> write_entry;
+    std::function<void()> read_entries;
+};
+
+/** @brief Settings of a node whose configuration comes from operators' documents in the platform's store. */
+struct operator_source_options {
+    std::chrono::milliseconds long_poll{20'000};
+    operator_source_hooks hooks;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/core/rollout/service_rollouts.cpp
@@ -0,0 +1,305 @@
+#include "goldcrestwell/core/rollout/service_rollouts.hpp"
+
+#include "goldcrestwell/core/common/rendezvous.hpp"
+#include "goldcrestwell/core/message/join.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** @brief Share of the new version at a stage and the part of the usable time after which the next one is due. */
+struct stage_plan {
+    share progress;
+    double ends{};
+};
+
+// The sum over all stages stays below a tenth of the calls between order and deadline plus what a faulty version may
+// get, if a fault is found within a second of showing. The trial is long enough for faults that begin late.
+constexpr std::array<stage_plan, 5> stages{
+    {{share{0}, 0.0}, {share{70'000}, 0.56}, {share{250'000}, 0.68}, {share{500'000}, 0.78}, {full_share, 1.0}}};
+constexpr std::uint8_t trial_stage = 1;
+constexpr std::uint8_t full_stage = stages.size() - 1;
+// Of the trial's time; by then a version that could not be judged for lack of calls goes on.
+constexpr double thin_evidence_part = 1.25;
+constexpr service_rollouts::size_type deciding_ranks = 3;
+constexpr std::uint32_t no_run_limit = 1'000'000;
+// The store may lose an answer; the record is asked for again after this time.
+constexpr milliseconds record_again{1'500};
+
+bool finished(const move_state& state) noexcept {
+    return state.done || state.taken_back;
+}
+
+rollout_phase phase_of(const move_state& state) noexcept {
+    if (state.taken_back) {
+        return rollout_phase::taken_back;
+    }
+    return state.done ? rollout_phase::completed : rollout_phase::running;
+}
+
+} // namespace
+
+service_rollouts::service_rollouts(service_rollout_options options)
+    : options_{std::move(options)}, collector_{no_run_limit, options_.tick} {}
+
+move_key service_rollouts::key_of(const service_move& move) {
+    return {.row = {.route = {move.order.service.value}, .version = move.order.target}, .row_version = move.at};
+}
+
+void service_rollouts::on_order(const rollout_order& order, const log_offset at, const time_sample now) {
+    const auto found = moves_.find(order.service);
+    if (found != moves_.end() && found->second.at >= at) {
+        return;
+    }
+    service_move move{.order = order, .at = at, .learned = now, .stage_since = now.steady};
+    move.tally = rollout_tally{options_.limits};
+    if (stable_.contains(order.service) && stable_.at(order.service) == order.target) {
+        // The upstreams of the new version were seen before the order; the version in use is not known here.
+        stable_.erase(order.service);
+    }
+    withdrawn_.erase({order.service, order.target});
+    auto& placed = moves_.insert_or_assign(order.service, std::move(move)).first->second;
+    if (const auto early = early_.extract(key_of(placed)); !early.empty()) {
+        merge(placed, early.mapped(), now);
+    }
+    std::erase_if(early_, [&order, at](const auto& item) {
+        return item.first.row.route.value == order.service.value && item.first.row_version <= at;
+    });
+    arm(now);
+}
+
+void service_rollouts::on_recorded(const rollout_status& status, const time_sample now) {
+    const auto found = moves_.find(status.service);
+    if (found == moves_.end() || found->second.order.target != status.target) {
+        return;
+    }
+    auto& move = found->second;
+    move.recorded = status.phase;
+    auto state = move.state;
+    state.done = state.done || status.phase == rollout_phase::completed;
+    state.taken_back = status.phase == rollout_phase::taken_back;
+    change(move, state, now);
+}
+
+void service_rollouts::on_update(const move_update& update, const time_sample now) {
+    const service_name service{update.key.row.route.value};
+    const auto found = moves_.find(service);
+    if (found == moves_.end() || found->second.at < update.key.row_version) {
+        auto& early = early_[update.key];
+        early = join(early, update.state);
+        return;
+    }
+    if (key_of(found->second) == update.key) {
+        change(found->second, update.state, now);
+    }
+}
+
+void service_rollouts::on_evidence(const evidence_report& report, const time_sample now) {
+    const auto found = moves_.find(options_.service_of(report.from));
+    if (found == moves_.end() || finished(found->second.state)) {
+        return;
+    }
+    for (const auto& window : report.windows) {
+        found->second.tally.add(window, window.row.version == found->second.order.target);
+    }
+    decide(found->second, now);
+}
+
+void service_rollouts::record(const service_name& service, const call_observation& observation, const time_sample now) {
+    const auto found = moves_.find(service);
+    // A lost connection speaks against the host, and a withdrawn or finished move needs no evidence.
+    if (found == moves_.end() || finished(found->second.state) || observation.connection_lost) {
+        return;
+    }
+    collector_.record(observation, true, now);
+    arm(now);
+}
+
+void service_rollouts::on_upstream(const service_name& service, const upstream_version& version) {
+    const auto found = moves_.find(service);
+    const auto ordered = found != moves_.end() && found->second.order.target == version;
+    if (!ordered && !withdrawn_.contains({service, version})) {
+        stable_.try_emplace(service, version);
+    }
+}
+
+void service_rollouts::on_timer(const time_sample now) {
+    if (!next_tick_ || now.steady < *next_tick_) {
+        return;
+    }
+    next_tick_.reset();
+    send_windows(now);
+    for (auto& [service, move] : moves_) {
+        decide(move, now);
+    }
+    arm(now);
+}
+
+std::vector<version_share> service_rollouts::shares(const service_name& service) const {
+    const auto stable = stable_.find(service);
+    const auto found = moves_.find(service);
+    if (found == moves_.end() || found->second.state.taken_back) {
+        return stable == stable_.end() ? std::vector<version_share>{}
+                                       : std::vector<version_share>{{stable->second, full_share}};
+    }
+    const auto& move = found->second;
+    const auto progress = move.state.done ? full_share : stages[std::min(move.state.stage, full_stage)].progress;
+    std::vector<version_share> result{{move.order.target, progress}};
+    if (stable != stable_.end() && progress < full_share) {
+        result.push_back({stable->second, share{full_share.value() - progress.value()}});
+    }
+    return result;
+}
+
+bool service_rollouts::on_trial(const service_name& service, const upstream_version& version) const {
+    const auto found = moves_.find(service);
+    return found != moves_.end() && found->second.order.target == version && !finished(found->second.state) &&
+           found->second.state.stage <= trial_stage;
+}
+
+bool service_rollouts::withdrawn(const service_name& service, const upstream_version& version) const {
+    return withdrawn_.contains({service, version});
+}
+
+std::vector<move_update> service_rollouts::moves() const {
+    std::vector<move_update> result;
+    for (const auto& [service, move] : moves_) {
+        if (move.state != move_state{}) {
+            result.push_back({.key = key_of(move), .state = move.state});
+        }
+    }
+    return result;
+}
+
+std::vector<node_id> service_rollouts::deciders(const service_name& service) const {
+    auto order = rendezvous_order(stable_hash(service.value), options_.nodes());
+    order.resize(std::min(order.size(), deciding_ranks));
+    return order;
+}
+
+std::optional<service_rollouts::size_type> service_rollouts::rank(const service_name& service) const {
+    const auto order = deciders(service);
+    const auto own = std::ranges::find(order, options_.self);
+    return own == order.end() ? std::nullopt : std::optional{static_cast<size_type>(own - order.begin())};
+}
+
+void service_rollouts::send_windows(const time_sample now) {
+    const auto windows = collector_.take();
+    if (windows.empty()) {
+        return;
+    }
+    const evidence_report report{.from = options_.self, .windows = windows};
+    for (const auto node : deciders(options_.service_of(options_.self))) {
+        if (node == options_.self) {
+            on_evidence(report, now);
+        } else {
+            options_.send_evidence(node, report);
+        }
+    }
+}
+
+void service_rollouts::decide(service_move& move, const time_sample now) {
+    const auto own_rank = rank(move.order.service);
+    if (!own_rank) {
+        return;
+    }
+    if (!finished(move.state)) {
+        auto next = move.state;
+        if (const auto reason = move.tally.fault()) {
+            next.taken_back = true;
+            next.reason = *reason;
+            change(move, next, now);
+        } else if (raise_due(move, *own_rank, now)) {
+            next.done = next.stage >= full_stage;
+            next.stage = std::min<std::uint8_t>(next.stage + 1, full_stage);
+            change(move, next, now);
+        }
+    }
+    record_phase(move, *own_rank, now);
+}
+
+bool service_rollouts::raise_due(const service_move& move, const size_type own_rank, const time_sample now) const {
+    if (!options_.has_upstream(move.order.service, move.order.target)) {
+        return false;
+    }
+    const auto late = options_.takeover_after * own_rank;
+    const auto elapsed = now.steady - move.learned.steady - late;
+    const std::chrono::duration<double, std::milli> usable =
+        std::max(move.order.duration - options_.margin, move.order.duration / 2);
+    const auto stage = std::min(move.state.stage, full_stage);
+    const auto thin = stage == trial_stage && move.tally.candidate_calls() < options_.least_calls;
+    return elapsed >= usable * stages[stage].ends * (thin ? thin_evidence_part : 1.0);
+}
+
+// Every state is recorded by the first rank; the others look after it if the record has not been read back by then.
+void service_rollouts::record_phase(service_move& move, const size_type own_rank, const time_sample now) {
+    const auto phase = phase_of(move.state);
+    const auto begun = move.state != move_state{};
+    const auto settled = move.recorded == phase || (move.recorded && *move.recorded != rollout_phase::running);
+    if (!begun || settled || (own_rank != 0 && phase == rollout_phase::running)) {
+        return;
+    }
+    if (!move.record_at) {
+        move.record_at = now.steady + own_rank * record_again;
+    }
+    if (now.steady >= *move.record_at) {
+        move.record_at = now.steady + record_again;
+        options_.record_status({.service = move.order.service, .target = move.order.target, .phase = phase});
+    }
+}
+
+void service_rollouts::change(service_move& move, const move_state& state, const time_sample now) {
+    if (merge(move, state, now)) {
+        options_.broadcast({.key = key_of(move), .state = move.state});
+    }
+}
+
+bool service_rollouts::merge(service_move& move, const move_state& state, const time_sample now) {
+    const auto merged = join(move.state, state);
+    if (merged == move.state) {
+        return false;
+    }
+    if (merged.stage != move.state.stage) {
+        move.stage_since = now.steady;
+    }
+    if (phase_of(merged) != phase_of(move.state)) {
+        move.record_at.reset();
+    }
+    move.state = merged;
+    settle_versions(move);
+    arm(now);
+    return true;
+}
+
+void service_rollouts::settle_versions(const service_move& move) {
+    const auto& [service, target, duration] = move.order;
+    if (move.state.taken_back) {
+        withdrawn_.insert({service, target});
+        if (const auto stable = stable_.find(service); stable != stable_.end() && stable->second == target) {
+            stable_.erase(stable);
+        }
+    } else if (move.state.done) {
+        stable_.insert_or_assign(service, target);
+    }
+}
+
+void service_rollouts::arm(const time_sample now) {
+    const auto busy = std::ranges::any_of(moves_, [this](const auto& item) {
+        const auto& move = item.second;
+        const auto unrecorded = !move.recorded || *move.recorded == rollout_phase::running;
+        return !finished(move.state) || (unrecorded && rank(item.first));
+    });
+    if (!busy && collector_.empty()) {
+        next_tick_.reset();
+    } else if (!next_tick_) {
+        next_tick_ = now.steady + options_.tick;
+    }
+}
+
+} // namespace goldcrestwell
--- a/test/core/call/call_dispatcher.cpp
+++ b/test/core/call/call_dispatcher.cpp
@@ -26,13 +26,13 @@
     call_dispatcher_options complete(call_dispatcher_options options) {
         options.self = self;
         options.life = incarnation{5};
-        options.find_route = [](const std::string_view path) -> std::optional<route_view> {
-            return path == "/none" ? std::nullopt : std::optional{route_view{.route = {"/"}, .service = {"s"}}};
+        options.find_route = [](const call_request& call) -> std::optional<route_view> {
+            return call.target == "/none" ? std::nullopt : std::optional{route_view{.route = {"/"}, .service = {"s"}}};
         };
         options.terms = [](const row_key&) {
             return row_terms{};
         };
-        options.shares = [this](const route_name&) {
+        options.shares = [this](const route_view&) {
             return shares;
         };
         options.candidates = [this](const service_name&, const upstream_version& version) {
--- a/test/core/call/call_network.cpp
+++ b/test/core/call/call_network.cpp
@@ -98,10 +98,10 @@
     return {.self = self.id,
             .life = self.life,
             .seed = random_(),
-            .find_route = [](std::string_view) { return route_view{.route = {"/"}, .service = service}; },
+            .find_route = [](const call_request&) { return route_view{.route = {"/"}, .service = service}; },
             .terms = [](const row_key&) { return row_terms{}; },
             .shares =
-                [](const route_name&) {
+                [](const route_view&) {
                     return std::vector<version_share>{{.version = {"v1"}, .share = share{700'000}},
                                                       {.version = {"v2"}, .share = share{300'000}}};
                 },
