--- a/src/goldcrestwell/cli/load_report.cpp
+++ b/src/goldcrestwell/cli/load_report.cpp
@@ -40,6 +40,10 @@
         return "truncated";
     case upstream_outcome::too_large:
         return "too large";
+    case upstream_outcome::rejected:
+        return "rejected";
+    case upstream_outcome::invalid:
+        return "invalid";
     }
     return "other";
 }
--- /dev/null
+++ b/src/goldcrestwell/shell/call_log.cpp
@@ -0,0 +1,40 @@
+#include "goldcrestwell/shell/call_log.hpp"
+
+#include "goldcrestwell/shell/endpoint.hpp"
+#include "goldcrestwell/shell/structured_log.hpp"
+
+#include <array>
+#include <string_view>
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> step_names{"call_sent", "call_answered", "call_refused", "call_cancelled"};
+constexpr std::array<std::string_view, 3> run_names{"not_run", "ran", "unknown"};
+
+// Refusals and repeated tries explain failures and are kept before plain successes.
+log_level level_of(const call_event& event) {
+    const auto plain = event.reason == refusal_reason::none && event.tries <= 1;
+    return plain ? log_level::debug : log_level::info;
+}
+
+} // namespace
+
+void write_call_log(const call_event& event, const steady_time now) {
+    if (!log_enabled(level_of(event))) {
+        return;
+    }
+    write_log(level_of(event), step_names[static_cast<std::size_t>(event.step)],
+              {{"request", event.request_id},
+               {"route", event.route.value},
+               {"service", event.service.value},
+               {"upstream_version", event.version.value},
+               {"node", to_string(event.target)},
+               {"try", event.tries},
+               {"reason", to_string(event.reason)},
+               {"run", run_names[static_cast<std::size_t>(event.run)]},
+               {"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - event.started).count()}});
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/shell/call_log.hpp
@@ -0,0 +1,14 @@
+#ifndef GOLDCRESTWELL_SHELL_CALL_LOG_HPP
+#define GOLDCRESTWELL_SHELL_CALL_LOG_HPP
+
+#include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/message/call_event.hpp"
+
+namespace goldcrestwell {
+
+/** @brief Writes the log line of a decision about a call. */
+void write_call_log(const call_event& event, steady_time now);
+
+} // namespace goldcrestwell
+
+#endif
--- /dev/null
+++ b/src/goldcrestwell/shell/caller_connection.cpp
@@ -0,0 +1,272 @@
+#include "goldcrestwell/shell/caller_connection.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr std::size_t read_chunk_bytes = 65'536;
+// Requests of one connection that wait for their answers; reading pauses at this number.
+constexpr std::size_t most_pending = 64;
+// Bytes that arrive after the last answer are read and dropped for this long: closing a connection with unread bytes
+// would reset it and could take the answer with it.
+constexpr std::chrono::milliseconds linger{1'000};
+
+constexpr std::uint32_t status_bad_request = 400;
+constexpr std::uint32_t status_timeout = 408;
+constexpr std::uint32_t status_body_too_large = 413;
+constexpr std::uint32_t status_headers_too_large = 431;
+constexpr std::uint32_t status_no_content = 204;
+constexpr std::uint32_t status_not_modified = 304;
+
+std::string_view reason_phrase(const std::uint32_t status) {
+    switch (status) {
+#define GOLDCRESTWELL_STATUS(number, name, text)                                                                       \
+    case number:                                                                                                       \
+        return #text;
+        HTTP_STATUS_MAP(GOLDCRESTWELL_STATUS)
+#undef GOLDCRESTWELL_STATUS
+    default:
+        return "Unknown";
+    }
+}
+
+std::uint32_t status_of(const http_parser_fault fault) {
+    switch (fault) {
+    case http_parser_fault::headers_too_large:
+        return status_headers_too_large;
+    case http_parser_fault::body_too_large:
+        return status_body_too_large;
+    default:
+        return status_bad_request;
+    }
+}
+
+bool bodiless(const std::uint32_t status) {
+    return status == status_no_content || status == status_not_modified;
+}
+
+} // namespace
+
+void caller_connection::handle_deleter::operator()(bufferevent* handle) const noexcept {
+    bufferevent_free(handle);
+}
+
+caller_connection::caller_connection(event_loop& loop, const int descriptor, caller_connection_options options)
+    : loop_{loop}, options_{std::move(options)}, parser_{{.requests = true,
+                                                          .max_header_bytes = options_.limits.max_header_bytes,
+                                                          .max_body_bytes = options_.limits.max_body_bytes}},
+      timeout_{loop,
+               [this](time_sample) {
+                   on_timeout();
+               }},
+      handle_{bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)} {
+    const auto readable = [](bufferevent* /*unused*/, void* argument) {
+        static_cast<caller_connection*>(argument)->on_readable();
+    };
+    const auto written = [](bufferevent* /*unused*/, void* argument) {
+        static_cast<caller_connection*>(argument)->on_written();
+    };
+    const auto ended = [](bufferevent* /*unused*/, short /*unused*/, void* argument) {
+        static_cast<caller_connection*>(argument)->on_ended();
+    };
+    bufferevent_setcb(handle_.get(), readable, written, ended, this);
+    bufferevent_enable(handle_.get(), EV_READ | EV_WRITE);
+    arm_idle();
+}
+
+caller_connection::~caller_connection() {
+    *alive_ = false;
+}
+
+void caller_connection::set_limits(const caller_limits& limits) {
+    options_.limits = limits;
+    parser_.set_limits(limits.max_header_bytes, limits.max_body_bytes);
+}
+
+std::size_t caller_connection::in_progress() const noexcept {
+    const auto unwritten = handle_ && evbuffer_get_length(bufferevent_get_output(handle_.get())) > 0;
+    return pending_.size() + (parser_.inside() && !last_request_ ? 1 : 0) + (unwritten ? 1 : 0);
+}
+
+void caller_connection::close_when_answered() {
+    if (pending_.empty() && !parser_.inside() && !closing_) {
+        closing_ = true;
+        finish_writing();
+        return;
+    }
+    if (parser_.inside()) {
+        close_after_next();
+    } else {
+        reading_ = false;
+    }
+}
+
+void caller_connection::on_readable() {
+    std::array<char, read_chunk_bytes> chunk{};
+    while (handle_) {
+        if (lingering_ || !reading_) {
+            evbuffer_drain(bufferevent_get_input(handle_.get()), read_chunk_bytes);
+            if (evbuffer_get_length(bufferevent_get_input(handle_.get())) == 0) {
+                return;
+            }
+            continue;
+        }
+        if (pending_.size() >= most_pending) {
+            bufferevent_disable(handle_.get(), EV_READ);
+            return;
+        }
+        auto* input = bufferevent_get_input(handle_.get());
+        const auto count = evbuffer_copyout(input, chunk.data(), chunk.size());
+        if (count <= 0) {
+            break;
+        }
+        const auto used = parser_.feed({chunk.data(), static_cast<std::size_t>(count)});
+        evbuffer_drain(input, used);
+        if (parser_.fault() != http_parser_fault::none) {
+            refuse(status_of(parser_.fault()));
+            return;
+        }
+        if (auto message = parser_.take()) {
+            continue_sent_ = false;
+            serve(std::move(*message));
+        }
+    }
+    if (handle_ && parser_.inside()) {
+        const auto waits = parser_.headers_complete() && parser_.partial().expects_continue;
+        if (waits && !std::exchange(continue_sent_, true) && pending_.empty()) {
+            constexpr std::string_view go_on{"HTTP/1.1 100 Continue\r\n\r\n"};
+            bufferevent_write(handle_.get(), go_on.data(), go_on.size());
+        }
+        if (!parser_.headers_complete()) {
+            timeout_.arm_after(options_.limits.header_timeout);
+        }
+    }
+}
+
+void caller_connection::serve(http_message message) {
+    timeout_.cancel();
+    const auto waiting = std::make_shared<pending_answer>();
+    waiting->keep_alive = message.keep_alive;
+    waiting->head_request = message.method == "HEAD";
+    if (!message.keep_alive || last_request_) {
+        reading_ = false;
+    }
+    waiting->exchange = std::make_shared<http_exchange>(
+        std::move(message), [this, alive = std::weak_ptr<bool>{alive_},
+                             answered = std::weak_ptr<pending_answer>{waiting}](const http_answer& answer) {
+            const auto place = answered.lock();
+            const auto connected = alive.lock();
+            if (place && connected && *connected) {
+                place->answer = answer;
+                flush();
+            }
+        });
+    pending_.push_back(waiting);
+    options_.on_request(waiting->exchange);
+}
+
+void caller_connection::refuse(const std::uint32_t status) {
+    reading_ = false;
+    const auto refused = std::make_shared<pending_answer>();
+    refused->answer = http_answer{.status = status};
+    pending_.push_back(refused);
+    flush();
+}
+
+void caller_connection::flush() {
+    while (handle_ && !closing_ && !pending_.empty() && pending_.front()->answer) {
+        const auto answered = pending_.front();
+        pending_.pop_front();
+        const auto last = pending_.empty() && !reading_;
+        write(*answered, last);
+        if (last) {
+            closing_ = true;
+        }
+    }
+    if (!handle_ || closing_ || !pending_.empty()) {
+        return;
+    }
+    arm_idle();
+    if ((bufferevent_get_enabled(handle_.get()) & EV_READ) == 0) {
+        bufferevent_enable(handle_.get(), EV_READ);
+        loop_.defer([this, alive = std::weak_ptr<bool>{alive_}] {
+            if (const auto connected = alive.lock(); connected && *connected) {
+                on_readable();
+            }
+        });
+    }
+}
+
+void caller_connection::write(const pending_answer& answered, const bool last) {
+    const auto& answer = *answered.answer;
+    std::string head{"HTTP/1.1 "};
+    head.append(std::to_string(answer.status)).append(" ").append(reason_phrase(answer.status)).append("\r\n");
+    for (const auto& header : answer.headers) {
+        head.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+    if (!bodiless(answer.status)) {
+        head.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
+    }
+    head.append(last ? "Connection: close\r\n\r\n" : "\r\n");
+    bufferevent_write(handle_.get(), head.data(), head.size());
+    if (!answered.head_request && !bodiless(answer.status)) {
+        bufferevent_write(handle_.get(), answer.body.data(), answer.body.size());
+    }
+}
+
+void caller_connection::on_written() {
+    if (closing_) {
+        finish_writing();
+    }
+}
+
+void caller_connection::finish_writing() {
+    if (!handle_ || lingering_) {
+        return;
+    }
+    lingering_ = true;
+    shutdown(bufferevent_getfd(handle_.get()), SHUT_WR);
+    bufferevent_enable(handle_.get(), EV_READ);
+    timeout_.arm_after(linger);
+}
+
+void caller_connection::on_ended() {
+    for (const auto& waiting : std::exchange(pending_, {})) {
+        if (waiting->exchange) {
+            waiting->exchange->mark_gone();
+        }
+    }
+    close();
+}
+
+void caller_connection::on_timeout() {
+    if (!lingering_ && parser_.inside() && pending_.empty()) {
+        refuse(status_timeout);
+        return;
+    }
+    if (lingering_ || pending_.empty()) {
+        close();
+    }
+}
+
+void caller_connection::arm_idle() {
+    timeout_.arm_after(options_.limits.idle_timeout);
+}
+
+void caller_connection::close() {
+    timeout_.cancel();
+    handle_.reset();
+    options_.on_closed();
+}
+
+} // namespace goldcrestwell
--- a/src/goldcrestwell/shell/caller_listener.hpp
+++ b/src/goldcrestwell/shell/caller_listener.hpp
@@ -1,19 +1,25 @@
 #ifndef GOLDCRESTWELL_SHELL_CALLER_LISTENER_HPP
 #define GOLDCRESTWELL_SHELL_CALLER_LISTENER_HPP
 
+#include "goldcrestwell/core/message/call_request.hpp"
+#include "goldcrestwell/core/message/call_result.hpp"
 #include "goldcrestwell/core/node/fwd.hpp"
+#include "goldcrestwell/shell/caller_server.hpp"
 #include "goldcrestwell/shell/event_loop.hpp"
-#include "goldcrestwell/shell/http_server.hpp"
 
-#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <optional>
 
 namespace goldcrestwell {
 
 /** @brief Options of the listener for callers. */
 struct caller_listener_options {
-    http_server_options server;
-    /** @brief Time-out of a request without the time-out header. */
-    std::chrono::milliseconds default_timeout{10'000};
+    caller_server_options server;
+    /** @brief Reads a call from a request; nothing if a header of the system has a bad value. */
+    std::function<std::optional<call_request>(const http_exchange& exchange)> to_call;
+    /** @brief The HTTP answer for the result of a call. */
+    std::function<http_answer(const call_result& result)> to_answer;
 };
 
 /** @brief Turns callers' HTTP requests into calls of the node and results into HTTP answers. */
@@ -22,6 +28,8 @@
     caller_listener(event_loop& loop, node& core, caller_listener_options options);
 
     [[nodiscard]] bool start() { return server_.start(); }
+    void set_limits(const caller_limits& limits) { server_.set_limits(limits); }
+    void close_connections() { server_.close_connections(); }
     void stop_accepting() { server_.stop_accepting(); }
     [[nodiscard]] std::size_t in_progress() const noexcept { return server_.in_progress(); }
 
@@ -30,8 +38,8 @@
 
     event_loop& loop_;
     node& core_;
-    std::chrono::milliseconds default_timeout_;
-    http_server server_;
+    caller_listener_options options_;
+    caller_server server_;
 };
 
 } // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/shell/caller_server.hpp
@@ -0,0 +1,72 @@
+#ifndef GOLDCRESTWELL_SHELL_CALLER_SERVER_HPP
+#define GOLDCRESTWELL_SHELL_CALLER_SERVER_HPP
+
+#include "goldcrestwell/core/message/caller_limits.hpp"
+#include "goldcrestwell/shell/caller_connection.hpp"
+#include "goldcrestwell/shell/event_loop.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+struct evconnlistener;
+
+namespace goldcrestwell {
+
+/** @brief Address, limits and hooks of the listener for callers. */
+struct caller_server_options {
+    std::string address{"127.0.0.1"};
+    std::uint16_t port{};
+    /** @brief Most open connections; further ones are closed at once. */
+    std::size_t max_connections{2'000};
+    caller_limits limits;
+    /** @brief Called with each whole request, also while earlier ones of its connection wait for their answers. */
+    std::function<void(const std::shared_ptr<http_exchange>&)> on_request;
+};
+
+/**
+ * @brief An HTTP listener that serves the requests of one connection at the same time and answers them in order.
+ *
+ * libevent's own server reads a pipelined request only after it has answered the one before it, so each would wait for
+ * all earlier ones.
+ */
+class caller_server {
+public:
+    caller_server(event_loop& loop, caller_server_options options);
+    ~caller_server();
+
+    caller_server(const caller_server&) = delete;
+    caller_server& operator=(const caller_server&) = delete;
+
+    /** @return True if the socket could be bound. */
+    [[nodiscard]] bool start();
+    /** @brief Applies to connections and requests from now on. */
+    void set_limits(const caller_limits& limits);
+    /** @brief Each connection closes after the answers that are due; new connections are still accepted. */
+    void close_connections();
+    void stop_accepting();
+    /** @return Requests that wait for their answer, and answers that are not written yet. */
+    [[nodiscard]] std::size_t in_progress() const noexcept;
+
+private:
+    struct listener_deleter {
+        void operator()(evconnlistener* handle) const noexcept;
+    };
+
+    void accept(int descriptor);
+    void drop(std::uint64_t number);
+
+    event_loop& loop_;
+    caller_server_options options_;
+    std::map<std::uint64_t, std::unique_ptr<caller_connection>> connections_;
+    std::uint64_t last_number_{};
+    bool closing_{};
+    std::unique_ptr<evconnlistener, listener_deleter> listener_;
+};
+
+} // namespace goldcrestwell
+
+#endif
--- a/src/goldcrestwell/shell/http_connection.cpp
+++ b/src/goldcrestwell/shell/http_connection.cpp
@@ -1,144 +1,213 @@
 #include "goldcrestwell/shell/http_connection.hpp"
 
 #include "goldcrestwell/shell/http_headers.hpp"
-#include "goldcrestwell/shell/http_method.hpp"
 #include "goldcrestwell/shell/socket_options.hpp"
-#include "goldcrestwell/shell/timeval.hpp"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/http.h>
+#include <event2/event.h>
 
+#include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
 namespace goldcrestwell {
 
 namespace {
 
-constexpr std::uint32_t no_content = 204;
-constexpr std::uint32_t not_modified = 304;
-
-upstream_outcome to_outcome(const evhttp_request_error error, const bool headers_seen) {
-    switch (error) {
-    case EVREQ_HTTP_TIMEOUT:
-        return upstream_outcome::timed_out;
-    case EVREQ_HTTP_DATA_TOO_LONG:
-        return upstream_outcome::too_large;
-    default:
-        return headers_seen ? upstream_outcome::truncated : upstream_outcome::reset;
-    }
+constexpr std::size_t read_chunk_bytes = 65'536;
+
+sockaddr_in to_address(const endpoint& server) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
+    return address;
 }
 
-// libevent passes an answer without a length that ends by close as whole, although its end may be missing.
-bool has_length(evhttp_request* request) {
-    const auto* headers = evhttp_request_get_input_headers(request);
-    return evhttp_find_header(headers, "Content-Length") != nullptr ||
-           evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+bool carries_body(const http_client_request& request) {
+    constexpr std::array<std::string_view, 3> methods{"POST", "PUT", "PATCH"};
+    return !request.body.empty() || std::ranges::find(methods, request.method) != methods.end();
 }
 
-std::string take_body(evhttp_request* request) {
-    auto* input = evhttp_request_get_input_buffer(request);
-    std::string body(evbuffer_get_length(input), '\0');
-    evbuffer_remove(input, body.data(), body.size());
-    return body;
+std::string head_of(const http_client_request& request, const endpoint& server) {
+    auto head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    if (!find_header(request.headers, "Host")) {
+        head.append("Host: ").append(server.address).append("\r\n");
+    }
+    for (const auto& header : request.headers) {
+        if (!is_hop_by_hop(header.name)) {
+            head.append(header.name).append(": ").append(header.value).append("\r\n");
+        }
+    }
+    if (carries_body(request)) {
+        head.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    }
+    return head.append("\r\n");
 }
 
 } // namespace
 
-void http_connection::connection_deleter::operator()(evhttp_connection* handle) const noexcept {
-    evhttp_connection_free(handle);
+void http_connection::handle_deleter::operator()(bufferevent* handle) const noexcept {
+    bufferevent_free(handle);
 }
 
 http_connection::http_connection(event_loop& loop, endpoint server, const std::size_t max_answer_bytes)
-    : loop_{loop}, server_{std::move(server)}, max_answer_bytes_{max_answer_bytes},
-      handle_{evhttp_connection_base_new(loop.base(), nullptr, server_.address.c_str(), server_.port)} {
-    evhttp_connection_set_max_body_size(handle_.get(), static_cast<ev_ssize_t>(max_answer_bytes_));
-    // A resend below the ledger would break at-most-once.
-    evhttp_connection_set_retries(handle_.get(), 0);
-}
+    : http_connection{loop, std::move(server), http_connection_options{.max_answer_bytes = max_answer_bytes}} {}
+
+http_connection::http_connection(event_loop& loop, endpoint server, const http_connection_options options)
+    : loop_{loop}, server_{std::move(server)}, options_{options}, parser_{{.max_body_bytes = options.max_answer_bytes}},
+      timeout_{loop, [this](time_sample) {
+                   on_timeout();
+               }} {}
 
 http_connection::~http_connection() {
     cancel();
 }
 
-void http_connection::send(const http_client_request& request, result_hook on_result) {
-    const auto on_done = [](evhttp_request* done, void* argument) {
-        static_cast<http_connection*>(argument)->on_answer(done);
+bool http_connection::connect() {
+    // Deferred callbacks let a hook destroy this object without libevent using it afterwards.
+    handle_.reset(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
+    const auto readable = [](bufferevent* /*unused*/, void* argument) {
+        static_cast<http_connection*>(argument)->on_readable();
     };
-    const auto on_error = [](const evhttp_request_error error, void* argument) {
+    const auto changed = [](bufferevent* /*unused*/, const short what, void* argument) {
         auto& self = *static_cast<http_connection*>(argument);
-        self.error_ = to_outcome(error, self.headers_seen_);
-    };
-    const auto on_headers = [](evhttp_request* /*unused*/, void* argument) {
-        static_cast<http_connection*>(argument)->headers_seen_ = true;
-        return 0;
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+            self.on_connected();
+        } else {
+            self.on_ended((what & BEV_EVENT_EOF) != 0);
+        }
     };
+    bufferevent_setcb(handle_.get(), readable, nullptr, changed, this);
+    bufferevent_enable(handle_.get(), EV_READ | EV_WRITE);
+    auto address = to_address(server_);
+    if (bufferevent_socket_connect(handle_.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+        return false;
+    }
+    tune_stream(bufferevent_getfd(handle_.get()));
+    return true;
+}
+
+void http_connection::send(const http_client_request& request, result_hook on_result) {
     on_result_ = std::move(on_result);
-    error_.reset();
-    headers_seen_ = false;
-    head_request_ = request.method == "HEAD";
-    request_ = evhttp_request_new(on_done, this);
-    evhttp_request_set_error_cb(request_, on_error);
-    evhttp_request_set_header_cb(request_, on_headers);
-    auto* headers = evhttp_request_get_output_headers(request_);
-    copy_headers(request.headers, headers);
-    if (evhttp_find_header(headers, "Host") == nullptr) {
-        evhttp_add_header(headers, "Host", server_.address.c_str());
+    busy_ = true;
+    deadline_ = loop_.now().steady + request.timeout;
+    if (request.method == "HEAD") {
+        parser_.expect_no_body();
     }
-    evbuffer_add(evhttp_request_get_output_buffer(request_), request.body.data(), request.body.size());
-    const auto timeout = to_timeval(request.timeout);
-    evhttp_connection_set_timeout_tv(handle_.get(), &timeout);
-    const auto type = method_type(request.method).value_or(EVHTTP_REQ_GET);
-    if (evhttp_make_request(handle_.get(), request_, type, request.target.c_str()) != 0) {
-        request_ = nullptr;
-        loop_.defer([hook = on_result_] { hook({.outcome = upstream_outcome::not_sent}); });
-        broken_ = true;
+    if (!handle_ && !connect()) {
+        finish({.outcome = upstream_outcome::not_sent});
         return;
     }
-    if (const auto descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(handle_.get())); descriptor >= 0) {
-        disable_nagle(descriptor);
+    const auto limited = !connected_ && options_.connect_timeout > std::chrono::milliseconds{};
+    timeout_.arm_after(limited ? std::min(options_.connect_timeout, request.timeout) : request.timeout);
+    write(request);
+}
+
+void http_connection::write(const http_client_request& request) {
+    const auto head = head_of(request, server_);
+    bufferevent_write(handle_.get(), head.data(), head.size());
+    if (!request.body.empty()) {
+        bufferevent_write(handle_.get(), request.body.data(), request.body.size());
     }
 }
 
 void http_connection::cancel() {
     broken_ = true;
+    busy_ = false;
     on_result_ = nullptr;
-    if (request_ != nullptr) {
-        evhttp_cancel_request(std::exchange(request_, nullptr));
+    timeout_.cancel();
+    handle_.reset();
+}
+
+void http_connection::on_connected() {
+    connected_ = true;
+    if (busy_) {
+        timeout_.arm_at(deadline_);
     }
 }
 
-void http_connection::on_answer(evhttp_request* request) {
-    request_ = nullptr;
-    if (request == nullptr) {
-        finish({.outcome = error_.value_or(upstream_outcome::reset)});
-        return;
+void http_connection::on_readable() {
+    std::array<char, read_chunk_bytes> chunk{};
+    while (handle_) {
+        const auto count = bufferevent_read(handle_.get(), chunk.data(), chunk.size());
+        if (count == 0) {
+            return;
+        }
+        if (!busy_) {
+            // Bytes that belong to no request; whatever follows them could be taken for another answer.
+            cancel();
+            return;
+        }
+        const std::string_view bytes{chunk.data(), count};
+        const auto used = parser_.feed(bytes);
+        if (parser_.fault() != http_parser_fault::none) {
+            const auto large = parser_.fault() != http_parser_fault::malformed;
+            fail(large ? upstream_outcome::too_large : upstream_outcome::invalid);
+            return;
+        }
+        if (auto message = parser_.take()) {
+            const auto waiting = evbuffer_get_length(bufferevent_get_input(handle_.get()));
+            on_message(std::move(*message), used < bytes.size() || waiting > 0);
+            return;
+        }
     }
-    const auto status = static_cast<std::uint32_t>(evhttp_request_get_response_code(request));
-    if (status == 0) {
-        // The connection could not be opened, so nothing was written.
-        finish({.outcome = upstream_outcome::not_sent});
+}
+
+void http_connection::on_ended(const bool in_order) {
+    if (!busy_) {
+        cancel();
         return;
     }
-    const auto bodiless = head_request_ || status == no_content || status == not_modified;
-    if (!bodiless && !has_length(request)) {
-        finish({.outcome = upstream_outcome::truncated});
+    if (!connected_) {
+        fail(upstream_outcome::not_sent);
         return;
     }
-    finish({.outcome = upstream_outcome::answered,
-            .answer = {.status = status,
-                       .headers = copy_headers(evhttp_request_get_input_headers(request)),
-                       .body = take_body(request)}});
+    const auto unframed = parser_.headers_complete() && !parser_.partial().framed;
+    if (in_order && unframed && options_.accept_unframed) {
+        parser_.feed_end();
+        if (auto message = parser_.take()) {
+            on_message(std::move(*message), false);
+            return;
+        }
+    }
+    fail(parser_.headers_complete() || parser_.inside() ? upstream_outcome::truncated : upstream_outcome::reset);
+}
+
+void http_connection::on_timeout() {
+    fail(connected_ ? upstream_outcome::timed_out : upstream_outcome::not_sent);
+}
+
+void http_connection::on_message(http_message message, const bool more) {
+    // Unsent bytes of the request would reach the server as the beginning of the next one.
+    const auto unsent = evbuffer_get_length(bufferevent_get_output(handle_.get())) > 0;
+    if (!message.keep_alive || !message.framed || more || unsent) {
+        broken_ = true;
+        handle_.reset();
+    }
+    finish(
+        {.outcome = upstream_outcome::answered,
+         .answer = {.status = message.status, .headers = std::move(message.headers), .body = std::move(message.body)}});
+}
+
+void http_connection::fail(const upstream_outcome outcome) {
+    handle_.reset();
+    finish({.outcome = outcome});
 }
 
 void http_connection::finish(upstream_result result) {
+    timeout_.cancel();
     if (result.outcome != upstream_outcome::answered) {
         broken_ = true;
     }
+    busy_ = false;
     if (!on_result_) {
         return;
     }
-    // libevent still uses the connection while this function runs, and the hook may destroy it.
+    // The hook may destroy the connection.
     loop_.defer([hook = std::exchange(on_result_, nullptr), answer = std::move(result)] { hook(answer); });
 }
 
--- a/src/goldcrestwell/shell/http_connection.hpp
+++ b/src/goldcrestwell/shell/http_connection.hpp
@@ -4,16 +4,16 @@
 #include "goldcrestwell/core/message/upstream_result.hpp"
 #include "goldcrestwell/shell/endpoint.hpp"
 #include "goldcrestwell/shell/event_loop.hpp"
+#include "goldcrestwell/shell/http_message_parser.hpp"
+#include "goldcrestwell/shell/timer.hpp"
 
 #include <chrono>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
-struct evhttp_connection;
-struct evhttp_request;
+struct bufferevent;
 
 namespace goldcrestwell {
 
@@ -26,7 +26,21 @@
     std::chrono::milliseconds timeout{10'000};
 };
 
-/** @brief A client connection that carries one request at a time and is closed after any error. */
+/** @brief How a connection treats its server. */
+struct http_connection_options {
+    std::size_t max_answer_bytes{std::size_t{8} << 20U};
+    /** @brief An answer without a length that ends with an orderly close is whole. */
+    bool accept_unframed{};
+    /** @brief Longest time to open the connection; zero leaves it to the time-out of the request. */
+    std::chrono::milliseconds connect_timeout{};
+};
+
+/**
+ * @brief A client connection that carries one request at a time and is closed after any error.
+ *
+ * libevent's own HTTP client is not used: it passes answers that end early as whole, drops bytes behind an answer
+ * without a word, and takes a second answer for that of the next request.
+ */
 class http_connection {
 public:
     using result_hook = std::function<void(const upstream_result&)>;
@@ -37,13 +51,14 @@
      * @param max_answer_bytes Longest body of an answer.
      */
     http_connection(event_loop& loop, endpoint server, std::size_t max_answer_bytes);
+    http_connection(event_loop& loop, endpoint server, http_connection_options options);
     ~http_connection();
 
     http_connection(const http_connection&) = delete;
     http_connection& operator=(const http_connection&) = delete;
 
     /** @return True if no request is in progress and the connection can be used. */
-    [[nodiscard]] bool idle() const noexcept { return request_ == nullptr && !broken_; }
+    [[nodiscard]] bool idle() const noexcept { return !busy_ && !broken_; }
 
     /** @return True if the connection failed and must be replaced. */
     [[nodiscard]] bool broken() const noexcept { return broken_; }
@@ -55,22 +70,30 @@
     void cancel();
 
 private:
-    struct connection_deleter {
-        void operator()(evhttp_connection* handle) const noexcept;
+    struct handle_deleter {
+        void operator()(bufferevent* handle) const noexcept;
     };
 
-    void on_answer(evhttp_request* request);
+    [[nodiscard]] bool connect();
+    void write(const http_client_request& request);
+    void on_connected();
+    void on_readable();
+    void on_ended(bool in_order);
+    void on_timeout();
+    void on_message(http_message message, bool more);
+    void fail(upstream_outcome outcome);
     void finish(upstream_result result);
 
     event_loop& loop_;
     endpoint server_;
-    std::size_t max_answer_bytes_;
-    std::unique_ptr<evhttp_connection, connection_deleter> handle_;
-    evhttp_request* request_{};
-    bool head_request_{};
-    bool headers_seen_{};
+    http_connection_options options_;
+    http_message_parser parser_;
+    timer timeout_;
+    std::unique_ptr<bufferevent, handle_deleter> handle_;
+    steady_time deadline_{};
+    bool connected_{};
+    bool busy_{};
     bool broken_{};
-    std::optional<upstream_outcome> error_;
     result_hook on_result_;
 };
 
--- a/src/goldcrestwell/shell/http_exchange.hpp
+++ b/src/goldcrestwell/shell/http_exchange.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_SHELL_HTTP_EXCHANGE_HPP
 
 #include "goldcrestwell/core/message/http_answer.hpp"
+#include "goldcrestwell/shell/http_message.hpp"
 
 #include <functional>
 #include <optional>
@@ -10,22 +11,22 @@
 #include <utility>
 #include <vector>
 
-struct evhttp_request;
-
 namespace goldcrestwell {
 
 /** @brief One request to a listener and the place for its answer. */
 class http_exchange {
 public:
     using gone_hook = std::function<void()>;
+    using reply_hook = std::function<void(const http_answer&)>;
 
-    explicit http_exchange(evhttp_request* request);
+    /** @param send Sends the answer; called at most once. */
+    http_exchange(http_message request, reply_hook send) : request_{std::move(request)}, send_{std::move(send)} {}
 
-    [[nodiscard]] const std::string& method() const noexcept { return method_; }
+    [[nodiscard]] const std::string& method() const noexcept { return request_.method; }
     /** @return Path and query as sent. */
-    [[nodiscard]] const std::string& target() const noexcept { return target_; }
-    [[nodiscard]] const std::vector<http_header>& headers() const noexcept { return headers_; }
-    [[nodiscard]] const std::string& body() const noexcept { return body_; }
+    [[nodiscard]] const std::string& target() const noexcept { return request_.target; }
+    [[nodiscard]] const std::vector<http_header>& headers() const noexcept { return request_.headers; }
+    [[nodiscard]] const std::string& body() const noexcept { return request_.body; }
 
     /** @return The path without the query. */
     [[nodiscard]] std::string_view path() const noexcept;
@@ -37,7 +38,7 @@
     void reply(const http_answer& answer);
 
     /** @return True while an answer can still be sent. */
-    [[nodiscard]] bool open() const noexcept { return request_ != nullptr; }
+    [[nodiscard]] bool open() const noexcept { return send_ != nullptr; }
 
     /** @brief Sets what is called if the other end closes the connection before the answer. */
     void on_gone(gone_hook hook) { on_gone_ = std::move(hook); }
@@ -46,11 +47,8 @@
     void mark_gone();
 
 private:
-    evhttp_request* request_;
-    std::string method_;
-    std::string target_;
-    std::vector<http_header> headers_;
-    std::string body_;
+    http_message request_;
+    reply_hook send_;
     gone_hook on_gone_;
 };
 
--- /dev/null
+++ b/src/goldcrestwell/shell/http_message_parser.cpp
@@ -0,0 +1,178 @@
+#include "goldcrestwell/shell/http_message_parser.hpp"
+
+#include "goldcrestwell/shell/http_headers.hpp"
+
+#include <limits>
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+constexpr std::uint32_t lowest_final_status = 200;
+
+http_message_parser& owner(http_parser* parser) {
+    return *static_cast<http_message_parser*>(parser->data);
+}
+
+} // namespace
+
+http_message_parser::http_message_parser(const http_message_parser_options options) : options_{options} {
+    http_parser_init(&parser_, options_.requests ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser_.data = this;
+    // The limit on headers is kept here for each connection; the library's is one for the whole process.
+    http_parser_set_max_header_size(std::numeric_limits<std::uint32_t>::max());
+}
+
+void http_message_parser::set_limits(const size_type max_header_bytes, const size_type max_body_bytes) noexcept {
+    options_.max_header_bytes = max_header_bytes;
+    options_.max_body_bytes = max_body_bytes;
+}
+
+const http_parser_settings& http_message_parser::callbacks() noexcept {
+    static const http_parser_settings settings = [] {
+        http_parser_settings made{};
+        http_parser_settings_init(&made);
+        made.on_message_begin = [](http_parser* parser) {
+            owner(parser).begin();
+            return 0;
+        };
+        made.on_url = [](http_parser* parser, const char* data, const size_t size) {
+            auto& self = owner(parser);
+            self.message_.target.append(data, size);
+            self.header_bytes_ += size;
+            return self.header_bytes_ > self.options_.max_header_bytes ? self.fail(http_parser_fault::headers_too_large)
+                                                                       : 0;
+        };
+        made.on_header_field = [](http_parser* parser, const char* data, const size_t size) {
+            return owner(parser).add_to_header({data, size}, true);
+        };
+        made.on_header_value = [](http_parser* parser, const char* data, const size_t size) {
+            return owner(parser).add_to_header({data, size}, false);
+        };
+        made.on_headers_complete = [](http_parser* parser) {
+            return owner(parser).finish_headers();
+        };
+        made.on_body = [](http_parser* parser, const char* data, const size_t size) {
+            return owner(parser).add_to_body({data, size});
+        };
+        made.on_message_complete = [](http_parser* parser) {
+            return owner(parser).finish();
+        };
+        return made;
+    }();
+    return settings;
+}
+
+http_message_parser::size_type http_message_parser::feed(const std::string_view bytes) {
+    if (complete_ || fault_ != http_parser_fault::none) {
+        return 0;
+    }
+    http_parser_pause(&parser_, 0);
+    const auto used = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&parser_);
+    if (error != HPE_OK && error != HPE_PAUSED && fault_ == http_parser_fault::none) {
+        fail(http_parser_fault::malformed);
+    }
+    if (parser_.upgrade != 0 && !complete_ && fault_ == http_parser_fault::none) {
+        fail(http_parser_fault::malformed);
+    }
+    return used;
+}
+
+void http_message_parser::feed_end() {
+    if (!complete_ && fault_ == http_parser_fault::none) {
+        http_parser_pause(&parser_, 0);
+        http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+    }
+}
+
+std::optional<http_message> http_message_parser::take() {
+    if (!std::exchange(complete_, false)) {
+        return std::nullopt;
+    }
+    return std::exchange(message_, {});
+}
+
+void http_message_parser::begin() {
+    message_ = {};
+    header_ = {};
+    header_bytes_ = 0;
+    in_value_ = false;
+    inside_ = true;
+    headers_complete_ = false;
+}
+
+int http_message_parser::add_to_header(const std::string_view text, const bool name) {
+    header_bytes_ += text.size();
+    if (header_bytes_ > options_.max_header_bytes) {
+        return fail(http_parser_fault::headers_too_large);
+    }
+    if (headers_complete_) {
+        // Fields behind the last chunk are not forwarded.
+        return 0;
+    }
+    if (name && std::exchange(in_value_, false)) {
+        message_.headers.push_back(std::exchange(header_, {}));
+    }
+    (name ? header_.name : header_.value).append(text);
+    in_value_ = !name;
+    return 0;
+}
+
+int http_message_parser::finish_headers() {
+    if (!header_.name.empty()) {
+        message_.headers.push_back(std::exchange(header_, {}));
+    }
+    headers_complete_ = true;
+    message_.status = parser_.status_code;
+    if (options_.requests) {
+        message_.method = http_method_str(static_cast<http_method>(parser_.method));
+    }
+    message_.keep_alive = http_should_keep_alive(&parser_) != 0;
+    message_.framed = no_body_ || has_frame();
+    message_.expects_continue = find_header(message_.headers, "Expect").has_value();
+    std::erase_if(message_.headers, [](const http_header& header) { return is_hop_by_hop(header.name); });
+    const auto length = parser_.content_length;
+    if (length != std::numeric_limits<std::uint64_t>::max() && length > options_.max_body_bytes && !no_body_) {
+        return fail(http_parser_fault::body_too_large);
+    }
+    // One tells the library that no body follows.
+    return no_body_ ? 1 : 0;
+}
+
+bool http_message_parser::has_frame() const noexcept {
+    constexpr std::uint32_t no_content = 204;
+    constexpr std::uint32_t not_modified = 304;
+    const auto chunked = (parser_.flags & F_CHUNKED) != 0;
+    const auto length_known = parser_.content_length != std::numeric_limits<std::uint64_t>::max();
+    return chunked || length_known || message_.status < lowest_final_status || message_.status == no_content ||
+           message_.status == not_modified;
+}
+
+int http_message_parser::add_to_body(const std::string_view text) {
+    if (message_.body.size() + text.size() > options_.max_body_bytes) {
+        return fail(http_parser_fault::body_too_large);
+    }
+    message_.body.append(text);
+    return 0;
+}
+
+int http_message_parser::finish() {
+    inside_ = false;
+    if (!options_.requests && message_.status < lowest_final_status) {
+        // An interim answer; the final one follows.
+        return 0;
+    }
+    complete_ = true;
+    no_body_ = false;
+    http_parser_pause(&parser_, 1);
+    return 0;
+}
+
+int http_message_parser::fail(const http_parser_fault fault) noexcept {
+    fault_ = fault;
+    return -1;
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/shell/http_parser_fault.hpp
@@ -0,0 +1,13 @@
+#ifndef GOLDCRESTWELL_SHELL_HTTP_PARSER_FAULT_HPP
+#define GOLDCRESTWELL_SHELL_HTTP_PARSER_FAULT_HPP
+
+#include <cstdint>
+
+namespace goldcrestwell {
+
+/** @brief Why the bytes of a connection are no usable HTTP message. */
+enum class http_parser_fault : std::uint8_t { none, malformed, headers_too_large, body_too_large };
+
+} // namespace goldcrestwell
+
+#endif
--- a/src/goldcrestwell/shell/http_server.cpp
+++ b/src/goldcrestwell/shell/http_server.cpp
@@ -1,13 +1,18 @@
 #include "goldcrestwell/shell/http_server.hpp"
 
+#include "goldcrestwell/shell/http_headers.hpp"
+#include "goldcrestwell/shell/http_method.hpp"
 #include "goldcrestwell/shell/socket_options.hpp"
 #include "goldcrestwell/shell/timeval.hpp"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/util.h>
 
+#include <utility>
+
 namespace goldcrestwell {
 
 namespace {
@@ -15,6 +20,28 @@
 constexpr ev_uint16_t served_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                                        EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
+std::string take_body(evhttp_request* request) {
+    auto* input = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, body.data(), body.size());
+    return body;
+}
+
+http_message to_message(evhttp_request* request) {
+    return {.method = std::string{method_name(evhttp_request_get_command(request)).value_or("")},
+            .target = evhttp_request_get_uri(request),
+            .headers = copy_headers(evhttp_request_get_input_headers(request)),
+            .body = take_body(request)};
+}
+
+void send(evhttp_request* request, const http_answer& answer, const bool head_request) {
+    copy_headers(answer.headers, evhttp_request_get_output_headers(request));
+    if (!head_request) {
+        evbuffer_add(evhttp_request_get_output_buffer(request), answer.body.data(), answer.body.size());
+    }
+    evhttp_send_reply(request, static_cast<int>(answer.status), nullptr, nullptr);
+}
+
 } // namespace
 
 void http_server::http_deleter::operator()(evhttp* handle) const noexcept {
@@ -57,7 +84,12 @@
 
 void http_server::serve(evhttp_request* request) {
     auto* connection = evhttp_request_get_connection(request);
-    const auto exchange = std::make_shared<http_exchange>(request);
+    auto message = to_message(request);
+    const auto head_request = message.method == "HEAD";
+    const auto exchange =
+        std::make_shared<http_exchange>(std::move(message), [request, head_request](const http_answer& answer) {
+            send(request, answer, head_request);
+        });
     const auto on_close = [](evhttp_connection* closed, void* argument) {
         static_cast<http_server*>(argument)->on_closed(closed);
     };
--- a/src/goldcrestwell/shell/http_server.hpp
+++ b/src/goldcrestwell/shell/http_server.hpp
@@ -15,6 +15,7 @@
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
+struct evhttp_request;
 
 namespace goldcrestwell {
 
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestwell/codec/datagram_codec.hpp"
 #include "goldcrestwell/codec/frame_codec.hpp"
+#include "goldcrestwell/shell/call_log.hpp"
 #include "goldcrestwell/shell/member_status_name.hpp"
 #include "goldcrestwell/shell/structured_log.hpp"
 
@@ -96,6 +97,9 @@
     const auto now = loop_.now();
     write_log(log_level::info, "drain_started", {{"in_progress", core_.in_progress()}});
     drain_ends_ = now.steady + options_.drain_limit;
+    if (options_.close_callers_after > std::chrono::milliseconds{}) {
+        close_callers_at_ = now.steady + options_.close_callers_after;
+    }
     core_.on_drain(now);
     check_drain();
 }
@@ -106,6 +110,10 @@
         return;
     }
     const auto now = loop_.now();
+    if (close_callers_at_ && now.steady >= *close_callers_at_) {
+        close_callers_at_.reset();
+        callers_.close_connections();
+    }
     if (core_.drained(now) && callers_.in_progress() == 0) {
         finish_drain(0);
         return;
@@ -161,6 +169,9 @@
     hooks.append_record = [this](const log_record& record) {
         log_.append(record);
     };
+    hooks.config_changed = [this](const routing_config& config) {
+        callers_.set_limits(config.limits);
+    };
     hooks.wake_at = [this](const steady_time when) {
         core_timer_.arm_at(when);
     };
@@ -208,4 +219,29 @@
                {"rechecks", static_cast<unsigned>(event.state.rechecks)}});
 }
 
+void node_process::report(const call_event& event) const {
+    write_call_log(event, loop_.now().steady);
+}
+
+void node_process::report(const config_applied& event) const {
+    write_log(log_level::info, "config_applied",
+              {{"version", event.version}, {"routes", event.routes}, {"position", event.position.value()}});
+}
+
+void node_process::report(const rollout_ordered& event) const {
+    write_log(log_level::info, "rollout_ordered",
+              {{"service", event.order.service.value},
+               {"target", event.order.target.value},
+               {"duration_ms", event.order.duration.count()}});
+}
+
+void node_process::report(const store_changed& event) const {
+    write_log(event.reachable ? log_level::info : log_level::warning,
+              event.reachable ? "store_reachable" : "store_lost");
+}
+
+void node_process::report(const record_unreadable& event) const {
+    write_log(log_level::warning, "record_unreadable", {{"key", event.key}, {"offset", event.offset.value()}});
+}
+
 } // namespace goldcrestwell
--- a/src/goldcrestwell/shell/node_process.hpp
+++ b/src/goldcrestwell/shell/node_process.hpp
@@ -14,6 +14,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
+#include <optional>
 
 namespace goldcrestwell {
 
@@ -26,6 +28,10 @@
     upstream_client_options upstream;
     /** @brief Longest time for a drain; calls still in progress are then cut. */
     std::chrono::milliseconds drain_limit{30'000};
+    /** @brief Time of a drain after which the connections of callers are closed; zero waits for the end. */
+    std::chrono::milliseconds close_callers_after{};
+    /** @brief Called when the process begins a drain or ends one. */
+    std::function<void()> on_drain;
 };
 
 /** @brief Joins the core with sockets and timers: the daemon without its settings and signals. */
@@ -40,6 +46,9 @@
     /** @brief Begins a graceful shutdown; a second call ends it at once. The loop stops when it is over. */
     void drain();
 
+    [[nodiscard]] node& core() noexcept { return core_; }
+    [[nodiscard]] upstream_client& upstream() noexcept { return upstream_; }
+
     /** @return Calls that were cut by the end of the drain. */
     [[nodiscard]] std::size_t cut_calls() const noexcept { return cut_calls_; }
 
@@ -51,6 +60,11 @@
     void report(const edit_verdict& event) const;
     void report(const member& event) const;
     void report(const move_update& event) const;
+    void report(const call_event& event) const;
+    void report(const config_applied& event) const;
+    void report(const rollout_ordered& event) const;
+    void report(const store_changed& event) const;
+    void report(const record_unreadable& event) const;
     void check_drain();
     void finish_drain(std::size_t cut);
 
@@ -61,6 +75,7 @@
     bool draining_{};
     bool finished_{};
     steady_time drain_ends_{};
+    std::optional<steady_time> close_callers_at_;
 
     timer core_timer_;
     timer drain_timer_;
--- a/src/goldcrestwell/shell/peer_connection.cpp
+++ b/src/goldcrestwell/shell/peer_connection.cpp
@@ -36,14 +36,14 @@
     install_callbacks();
     auto address = to_address(peer);
     bufferevent_socket_connect(handle_.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    disable_nagle(bufferevent_getfd(handle_.get()));
+    tune_stream(bufferevent_getfd(handle_.get()));
 }
 
 peer_connection::peer_connection(event_loop& loop, const int descriptor, peer_connection_hooks hooks)
     : hooks_{std::move(hooks)}, handle_{bufferevent_socket_new(loop.base(), descriptor,
                                                                BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)} {
     install_callbacks();
-    disable_nagle(descriptor);
+    tune_stream(descriptor);
 }
 
 void peer_connection::install_callbacks() {
--- a/src/goldcrestwell/shell/start_failure.cpp
+++ b/src/goldcrestwell/shell/start_failure.cpp
@@ -14,6 +14,8 @@
         return "caller_listener";
     case start_failure::admin_listener:
         return "admin_listener";
+    case start_failure::announcement_listener:
+        return "announcement_listener";
     }
     return "invalid";
 }
--- a/src/goldcrestwell/shell/start_failure.hpp
+++ b/src/goldcrestwell/shell/start_failure.hpp
@@ -7,7 +7,14 @@
 namespace goldcrestwell {
 
 /** @brief The socket that could not be bound at the start. */
-enum class start_failure : std::uint8_t { none, peer_listener, gossip_socket, caller_listener, admin_listener };
+enum class start_failure : std::uint8_t {
+    none,
+    peer_listener,
+    gossip_socket,
+    caller_listener,
+    admin_listener,
+    announcement_listener
+};
 
 /** @return The name used in log lines. */
 [[nodiscard]] std::string_view to_string(start_failure value) noexcept;
--- a/src/goldcrestwell/shell/structured_log.cpp
+++ b/src/goldcrestwell/shell/structured_log.cpp
@@ -1,8 +1,13 @@
 #include "goldcrestwell/shell/structured_log.hpp"
 
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
+#include <climits>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -64,6 +69,51 @@
     return line;
 }
 
+/** @brief Lines in a second, above which those of a level are left out: information, warnings and errors. */
+constexpr unsigned info_lines_per_second = 60;
+constexpr unsigned all_lines_per_second = 120;
+
+log_level lowest_level = log_level::info;
+
+/** @brief Writes lines without waiting for a reader, within a budget of lines a second. */
+class standard_output : public el::LogDispatchCallback {
+public:
+    /** @return True if a line of that level is within the budget of this second. */
+    [[nodiscard]] bool admits(const log_level level) {
+        const auto second = std::chrono::floor<std::chrono::seconds>(std::chrono::steady_clock::now());
+        if (second != second_) {
+            second_ = second;
+            lines_ = 0;
+            if (const auto lost = std::exchange(left_out_, 0); lost > 0) {
+                put("level=warning event=log_lines_left_out lines=" + std::to_string(lost) + '\n');
+            }
+        }
+        const auto limit = level >= log_level::warning ? all_lines_per_second : info_lines_per_second;
+        const auto admitted = lines_ < limit;
+        ++(admitted ? lines_ : left_out_);
+        return admitted;
+    }
+
+protected:
+    void handle(const el::LogDispatchData* data) override {
+        put(data->logMessage()->logger()->logBuilder()->build(data->logMessage(), true));
+    }
+
+private:
+    // A pipe that is ready takes a line of up to PIPE_BUF bytes whole and at once.
+    void put(const std::string& line) {
+        pollfd descriptor{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+        const auto ready = poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+        if (!ready || ::write(STDOUT_FILENO, line.data(), std::min<std::size_t>(line.size(), PIPE_BUF)) < 0) {
+            ++left_out_;
+        }
+    }
+
+    std::chrono::time_point<std::chrono::steady_clock, std::chrono::seconds> second_{};
+    unsigned lines_{};
+    unsigned left_out_{};
+};
+
 void set_for_all(el::Configurations& configuration, const el::ConfigurationType type, const std::string& value) {
     configuration.setGlobally(type, value);
 }
@@ -74,7 +124,7 @@
     el::Configurations configuration;
     configuration.setToDefault();
     set_for_all(configuration, el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %msg");
-    set_for_all(configuration, el::ConfigurationType::ToStandardOutput, "true");
+    set_for_all(configuration, el::ConfigurationType::ToStandardOutput, "false");
     set_for_all(configuration, el::ConfigurationType::ToFile, options.file.empty() ? "false" : "true");
     if (!options.file.empty()) {
         set_for_all(configuration, el::ConfigurationType::Filename, options.file);
@@ -87,9 +137,19 @@
     configuration.set(el::Level::Warning, el::ConfigurationType::Enabled, enabled(log_level::warning));
     configuration.set(el::Level::Error, el::ConfigurationType::Enabled, enabled(log_level::error));
     el::Loggers::reconfigureLogger("default", configuration);
+    lowest_level = options.level;
+    el::Helpers::installLogDispatchCallback<standard_output>("standard_output");
+}
+
+bool log_enabled(const log_level level) noexcept {
+    return level >= lowest_level;
 }
 
 void write_log(const log_level level, const std::string_view event, const std::initializer_list<log_field> fields) {
+    auto* const sink = el::Helpers::logDispatchCallback<standard_output>("standard_output");
+    if (!log_enabled(level) || (sink != nullptr && !sink->admits(level))) {
+        return;
+    }
     const auto line = format_line(level, event, fields);
     switch (level) {
     case log_level::debug:
--- a/src/goldcrestwell/shell/structured_log.hpp
+++ b/src/goldcrestwell/shell/structured_log.hpp
@@ -20,6 +20,9 @@
 /** @brief Sets up logging for the process. */
 void configure_log(const log_options& options);
 
+/** @return True if lines of that level are written. */
+[[nodiscard]] bool log_enabled(log_level level) noexcept;
+
 /**
  * @brief Writes `time level=... event=... name=value ...`; values with spaces, quotes or control characters are quoted.
  * @param event Name of the event, in lower case with underscores.
--- a/src/goldcrestwell/shell/upstream_client.cpp
+++ b/src/goldcrestwell/shell/upstream_client.cpp
@@ -1,12 +1,22 @@
 #include "goldcrestwell/shell/upstream_client.hpp"
 
-#include "goldcrestwell/shell/call_mapping.hpp"
-
 #include <algorithm>
 #include <utility>
 
 namespace goldcrestwell {
 
+namespace {
+
+call_request without_body(const call_request& call) {
+    return {.method = call.method,
+            .host = call.host,
+            .request_id = call.request_id,
+            .target = call.target,
+            .timeout = call.timeout};
+}
+
+} // namespace
+
 upstream_client::upstream_client(event_loop& loop, upstream_client_options options)
     : loop_{loop}, options_{std::move(options)} {}
 
@@ -28,10 +38,20 @@
     active_.insert_or_assign(id, std::move(connection));
     used.send({.method = call.method,
                .target = call.target,
-               .headers = upstream_headers(call, timeout),
+               .headers = options_.headers(call, timeout),
                .body = call.body,
                .timeout = timeout},
-              [this, id](const upstream_result& result) { finish(id, result); });
+              [this, id, question = without_body(call)](const upstream_result& result) {
+                  finish(id, judged(question, result));
+              });
+}
+
+upstream_result upstream_client::judged(const call_request& call, const upstream_result& result) const {
+    if (result.outcome != upstream_outcome::answered || !options_.judge) {
+        return result;
+    }
+    const auto outcome = options_.judge(call, result.answer);
+    return outcome == upstream_outcome::answered ? result : upstream_result{.outcome = outcome};
 }
 
 void upstream_client::abort(const attempt_id& id) {
@@ -54,7 +74,10 @@
     if (address_.port == 0 || active_.size() >= max_connections_) {
         return nullptr;
     }
-    return std::make_unique<http_connection>(loop_, address_, options_.max_answer_bytes);
+    return std::make_unique<http_connection>(loop_, address_,
+                                             http_connection_options{.max_answer_bytes = options_.max_answer_bytes,
+                                                                     .accept_unframed = options_.accept_unframed,
+                                                                     .connect_timeout = options_.connect_timeout});
 }
 
 void upstream_client::finish(const attempt_id& id, const upstream_result& result) {
@@ -62,7 +85,8 @@
     if (found == active_.end()) {
         return;
     }
-    if (found->second->idle()) {
+    // The connection of an invalid answer may still carry bytes of another one.
+    if (found->second->idle() && result.outcome != upstream_outcome::invalid) {
         idle_.push_back({.connection = std::move(found->second), .since = loop_.now().steady});
     }
     active_.erase(found);
--- a/src/goldcrestwell/shell/upstream_client.hpp
+++ b/src/goldcrestwell/shell/upstream_client.hpp
@@ -24,6 +24,14 @@
     std::size_t max_connections{130};
     /** @brief A connection idle for this long is not used again, because the upstream may be about to close it. */
     std::chrono::milliseconds reuse_limit{4'000};
+    /** @brief Longest time to open a connection; zero leaves it to the time left. */
+    std::chrono::milliseconds connect_timeout{};
+    /** @brief An answer without a length that ends with an orderly close is whole. */
+    bool accept_unframed{};
+    /** @brief Headers of a request to the upstream. */
+    std::function<std::vector<http_header>(const call_request& call, std::chrono::milliseconds timeout)> headers;
+    /** @brief What an answer says about the request; empty takes every answer as one. */
+    std::function<upstream_outcome(const call_request& call, const http_answer& answer)> judge;
     std::function<void(const attempt_id& id, const upstream_result& result)> on_result;
 };
 
@@ -35,6 +43,9 @@
     /** @brief Sets where the upstream listens and how many connections it accepts. */
     void set_upstream(const endpoint& address, std::size_t max_connections);
 
+    /** @brief Closes the idle connections, because another upstream may answer at the address now. */
+    void forget_connections() { idle_.clear(); }
+
     /** @brief Sends a call; the result comes by the hook, `not_sent` if there is no upstream or no connection left. */
     void start(const attempt_id& id, const call_request& call, std::chrono::milliseconds timeout);
 
@@ -50,6 +61,7 @@
     };
 
     [[nodiscard]] std::unique_ptr<http_connection> take_connection();
+    [[nodiscard]] upstream_result judged(const call_request& call, const upstream_result& result) const;
     void finish(const attempt_id& id, const upstream_result& result);
     void drop_stale(steady_time now);
 
