Run beside upstreams on the platform with a store

Cause: the users' hosts keep nothing and their platform has its own names for settings, heartbeats, requests and the store.

Change: platform/ holds names, formats and calls; `goldcrestwell sidecar` joins it with the node; deploy/ has the build, the role and the template of the settings.

--- a/src/goldcrestwell/cli/command.hpp
+++ b/src/goldcrestwell/cli/command.hpp
@@ -12,6 +12,7 @@
  * @param arguments The subcommand's name and what follows it.
  */
 [[nodiscard]] exit_code run_node(std::span<char*> arguments);
+[[nodiscard]] exit_code run_sidecar(std::span<char*> arguments);
 [[nodiscard]] exit_code run_table(std::span<char*> arguments);
 [[nodiscard]] exit_code run_status(std::span<char*> arguments);
 [[nodiscard]] exit_code run_check(std::span<char*> arguments);
--- a/src/goldcrestwell/cli/main.cpp
+++ b/src/goldcrestwell/cli/main.cpp
@@ -10,6 +10,7 @@
                                    "\n"
                                    "Commands:\n"
                                    "  node --settings FILE     run the daemon beside an upstream\n"
+                                   "  sidecar --settings FILE  run the daemon on a platform with a store\n"
                                    "  table show               print the table in force, aligned\n"
                                    "  table export             print the table as CSV\n"
                                    "  table apply FILE         apply the changed rows of a CSV file\n"
@@ -28,6 +29,9 @@
     if (command == "node") {
         return run_node(arguments);
     }
+    if (command == "sidecar") {
+        return run_sidecar(arguments);
+    }
     if (command == "table") {
         return run_table(arguments);
     }
--- a/src/goldcrestwell/cli/node_command.cpp
+++ b/src/goldcrestwell/cli/node_command.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestwell/cli/command.hpp"
 #include "goldcrestwell/cli/parsed_options.hpp"
 #include "goldcrestwell/cli/process_options.hpp"
+#include "goldcrestwell/cli/random_seed.hpp"
 #include "goldcrestwell/cli/settings_file.hpp"
 #include "goldcrestwell/shell/signal_watch.hpp"
 #include "goldcrestwell/shell/structured_log.hpp"
@@ -8,20 +9,10 @@
 
 #include <csignal>
 #include <iostream>
-#include <random>
 #include <string>
 
 namespace goldcrestwell {
 
-namespace {
-
-std::uint64_t random_seed() {
-    std::random_device source;
-    return (std::uint64_t{source()} << 32U) | source();
-}
-
-} // namespace
-
 exit_code run_node(const std::span<char*> arguments) {
     cxxopts::Options options{"goldcrestwell node", "Runs the daemon beside an upstream."};
     options.add_options()("settings", "Settings file, JSON with comments", cxxopts::value<std::string>(), "FILE");
--- a/src/goldcrestwell/cli/process_options.cpp
+++ b/src/goldcrestwell/cli/process_options.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestwell/cli/process_options.hpp"
 
+#include "goldcrestwell/shell/call_mapping.hpp"
+
 namespace goldcrestwell {
 
 namespace {
@@ -43,15 +45,19 @@
     return {.core = to_core_options(settings, started, seed),
             .callers = {.server = {.address = callers.address,
                                    .port = callers.port,
-                                   .max_header_bytes = callers.max_header_bytes,
-                                   .max_body_bytes = callers.max_body_bytes,
-                                   .idle_timeout = callers.idle_timeout},
-                        .default_timeout = settings.calls.default_timeout},
+                                   .limits = {.max_header_bytes = callers.max_header_bytes,
+                                              .max_body_bytes = callers.max_body_bytes,
+                                              .idle_timeout = callers.idle_timeout}},
+                        .to_call = [timeout = settings.calls.default_timeout](
+                                       const http_exchange& exchange) { return to_call(exchange, timeout); },
+                        .to_answer = to_http},
             .admin = {.address = settings.admin_listener.address, .port = settings.admin_listener.port},
             .log = {.server = to_endpoint(settings.platform_log.address),
                     .stream = settings.platform_log.stream,
                     .request_timeout = settings.platform_log.request_timeout},
-            .upstream = {.max_answer_bytes = callers.max_body_bytes, .max_connections = settings.calls.max_connections},
+            .upstream = {.max_answer_bytes = callers.max_body_bytes,
+                         .max_connections = settings.calls.max_connections,
+                         .headers = upstream_headers},
             .drain_limit = settings.drain.limit};
 }
 
--- a/src/goldcrestwell/cli/process_options.hpp
+++ b/src/goldcrestwell/cli/process_options.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_CLI_PROCESS_OPTIONS_HPP
 
 #include "goldcrestwell/codec/node_settings.hpp"
+#include "goldcrestwell/codec/sidecar_settings.hpp"
 #include "goldcrestwell/core/common/time.hpp"
 #include "goldcrestwell/shell/node_process.hpp"
 
@@ -17,6 +18,10 @@
 [[nodiscard]] node_process_options to_process_options(const node_settings& settings, wall_time started,
                                                       std::uint64_t seed);
 
+/** @brief Turns the settings of a sidecar into the options of the daemon; `sidecar` adds those of the platform. */
+[[nodiscard]] node_process_options to_process_options(const sidecar_settings& settings, wall_time started,
+                                                      std::uint64_t seed);
+
 } // namespace goldcrestwell
 
 #endif
--- a/src/goldcrestwell/cli/settings_file.hpp
+++ b/src/goldcrestwell/cli/settings_file.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_CLI_SETTINGS_FILE_HPP
 
 #include "goldcrestwell/codec/node_settings.hpp"
+#include "goldcrestwell/codec/sidecar_settings.hpp"
 
 #include <optional>
 #include <string>
@@ -11,6 +12,9 @@
 /** @return The settings of a file, or nothing; then every fault has been printed to the standard error stream. */
 [[nodiscard]] std::optional<node_settings> load_settings(const std::string& path);
 
+/** @return Like `load_settings`, for the settings of a sidecar. */
+[[nodiscard]] std::optional<sidecar_settings> load_sidecar_settings(const std::string& path);
+
 } // namespace goldcrestwell
 
 #endif
--- /dev/null
+++ b/src/goldcrestwell/cli/sidecar_command.cpp
@@ -0,0 +1,60 @@
+#include "goldcrestwell/cli/command.hpp"
+#include "goldcrestwell/cli/parsed_options.hpp"
+#include "goldcrestwell/cli/process_options.hpp"
+#include "goldcrestwell/cli/random_seed.hpp"
+#include "goldcrestwell/cli/settings_file.hpp"
+#include "goldcrestwell/platform/sidecar.hpp"
+#include "goldcrestwell/shell/signal_watch.hpp"
+#include "goldcrestwell/shell/structured_log.hpp"
+#include "goldcrestwell/shell/version.hpp"
+
+#include <csignal>
+#include <iostream>
+#include <string>
+
+namespace goldcrestwell {
+
+exit_code run_sidecar(const std::span<char*> arguments) {
+    cxxopts::Options options{"goldcrestwell sidecar", "Runs the daemon beside an upstream on a platform with a store."};
+    options.add_options()("settings", "Settings file, JSON with comments", cxxopts::value<std::string>(), "FILE");
+    const auto parsed = parse_options(options, arguments);
+    if (!parsed.values) {
+        return parsed.ended;
+    }
+    if (parsed.values->count("settings") == 0) {
+        std::cerr << options.help();
+        return exit_code::wrong_usage;
+    }
+    const auto path = (*parsed.values)["settings"].as<std::string>();
+    const auto settings = load_sidecar_settings(path);
+    if (!settings) {
+        return exit_code::invalid_input;
+    }
+    configure_log({.level = settings->logging.level, .file = settings->logging.file});
+    std::signal(SIGPIPE, SIG_IGN);
+    event_loop loop;
+    sidecar process{loop, *settings, to_process_options(*settings, loop.now().wall, random_seed())};
+    if (!process.start()) {
+        write_log(log_level::error, "start_failed", {{"socket", to_string(process.last_reason())}});
+        return exit_code::internal_error;
+    }
+    write_log(log_level::info, "started",
+              {{"version", program_version()},
+               {"node", to_string(settings->self)},
+               {"data_centre", settings->data_centre.value},
+               {"service", settings->upstream_service.value}});
+    const signal_watch terminate{loop, SIGTERM, [&process] {
+                                     write_log(log_level::info, "stop_requested");
+                                     process.drain();
+                                 }};
+    const signal_watch reload{loop, SIGHUP, [&path] {
+                                  const auto valid = load_sidecar_settings(path).has_value();
+                                  write_log(valid ? log_level::info : log_level::error, "settings_reloaded",
+                                            {{"valid", static_cast<unsigned>(valid)}});
+                              }};
+    loop.run();
+    write_log(log_level::info, "stopped", {{"cut_calls", process.cut_calls()}});
+    return process.cut_calls() == 0 ? exit_code::success : exit_code::calls_cut;
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/cli/sidecar_options.cpp
@@ -0,0 +1,78 @@
+// Options of the daemon on a platform with a store. The figures follow the bounds that the platform's users set.
+
+#include "goldcrestwell/cli/process_options.hpp"
+
+#include <algorithm>
+
+namespace goldcrestwell {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Members that fail must be out of use within three seconds, and members cut off for a while must be back soon.
+constexpr membership_timing timing{.probe_interval = milliseconds{500},
+                                   .ack_timeout = milliseconds{150},
+                                   .suspicion_unit = milliseconds{500},
+                                   .push_gap = milliseconds{20},
+                                   .push_interval = milliseconds{100},
+                                   .sync_interval = milliseconds{5'000},
+                                   .catch_up_interval = milliseconds{200},
+                                   .join_backoff = milliseconds{100},
+                                   .join_backoff_limit = milliseconds{1'000},
+                                   .join_fan_out = 3,
+                                   .reconnect_interval = milliseconds{1'000}};
+// Four announcements may be late or lost before an upstream counts as gone.
+constexpr int announcements_missed = 4;
+// News of a leaving upstream reaches all nodes within a few hundred milliseconds; its work ends well before its drain.
+constexpr milliseconds longest_leave_grace{700};
+constexpr int leave_grace_part = 3;
+// Callers turn away from a node that is not ready after two questions a second apart.
+constexpr milliseconds drain_notice{2'600};
+// Kept free before the end by force, for the last answers.
+constexpr milliseconds stop_margin{600};
+constexpr milliseconds lonely_start{1'500};
+constexpr std::size_t control_bytes_per_second = 20'000;
+constexpr milliseconds default_retry_after{300};
+constexpr std::uint32_t redirects = 3;
+// A refused or hung connection to the upstream on the same host shows at once.
+constexpr milliseconds connect_timeout{250};
+// The bound on repeated requests is 20 % of all; retries of calls made by repeated requests count too.
+constexpr double retries_per_call = 0.08;
+constexpr double retries_per_second = 0.1;
+constexpr double retries_saved = 3.0;
+
+node_options to_core_options(const sidecar_settings& settings, const wall_time started, const std::uint64_t seed) {
+    return {
+        .self = settings.self,
+        .life = incarnation{static_cast<std::uint64_t>(started.time_since_epoch().count())},
+        .data_centre = settings.data_centre,
+        .region = settings.region,
+        .seed = seed,
+        .membership = timing,
+        .control_bytes_per_second = control_bytes_per_second,
+        .calls = {.max_redirects = redirects,
+                  .retry_after = default_retry_after,
+                  .retries = {.per_call = retries_per_call, .per_second = retries_per_second, .saved = retries_saved}},
+        .announcement_expiry = settings.announcement_interval * announcements_missed,
+        .drain_linger = drain_notice,
+        .drain_notice = drain_notice,
+        .leave_grace = std::min(longest_leave_grace, settings.upstream_drain / leave_grace_part),
+        .lonely_start = lonely_start};
+}
+
+} // namespace
+
+node_process_options to_process_options(const sidecar_settings& settings, const wall_time started,
+                                        const std::uint64_t seed) {
+    const auto callers = to_endpoint(settings.caller_listener);
+    const auto admin = to_endpoint(settings.admin_listener);
+    return {.core = to_core_options(settings, started, seed),
+            .callers = {.server = {.address = callers.address, .port = callers.port}},
+            .admin = {.address = admin.address, .port = admin.port},
+            .upstream = {.connect_timeout = connect_timeout},
+            .drain_limit = milliseconds{settings.stop_grace} - stop_margin,
+            .close_callers_after = drain_notice};
+}
+
+} // namespace goldcrestwell
--- a/src/goldcrestwell/codec/settings_reader.cpp
+++ b/src/goldcrestwell/codec/settings_reader.cpp
@@ -1,12 +1,12 @@
 #include "goldcrestwell/codec/settings_reader.hpp"
 
+#include "goldcrestwell/codec/settings_document.hpp"
 #include "goldcrestwell/codec/settings_walker.hpp"
 #include "goldcrestwell/codec/wire_limits.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <limits>
-#include <set>
 
 namespace goldcrestwell {
 
@@ -107,46 +107,6 @@
     return settings;
 }
 
-// The parser itself keeps the last of two equal keys, which would hide the first one.
-class duplicate_finder {
-public:
-    explicit duplicate_finder(std::vector<settings_fault>& faults) : faults_{faults} {}
-
-    bool operator()(int /*depth*/, const nlohmann::json::parse_event_t event, const nlohmann::json& parsed) {
-        if (event == nlohmann::json::parse_event_t::object_start) {
-            open_.emplace_back();
-        } else if (event == nlohmann::json::parse_event_t::object_end) {
-            open_.pop_back();
-        } else if (event == nlohmann::json::parse_event_t::key) {
-            note(parsed.get_ref<const std::string&>());
-        }
-        return true;
-    }
-
-private:
-    struct open_object {
-        std::set<std::string> keys;
-        std::string last;
-    };
-
-    void note(const std::string& key) {
-        open_.back().last = key;
-        if (!open_.back().keys.insert(key).second) {
-            faults_.push_back({.key = path(), .reason = settings_reason::duplicate_key, .expected = ""});
-        }
-    }
-    [[nodiscard]] std::string path() const {
-        std::string whole;
-        for (const auto& object : open_) {
-            whole.append(whole.empty() ? "" : ".").append(object.last);
-        }
-        return whole;
-    }
-
-    std::vector<settings_fault>& faults_;
-    std::vector<open_object> open_;
-};
-
 } // namespace
 
 std::string to_string(const settings_fault& fault) {
@@ -159,26 +119,9 @@
 }
 
 std::optional<node_settings> settings_reader::read(const std::string_view text) {
-    faults_.clear();
-    try {
-        const auto document = nlohmann::json::parse(text, duplicate_finder{faults_}, true, true);
-        if (!document.is_object()) {
-            faults_.push_back({.key = "", .reason = settings_reason::wrong_type, .expected = "object"});
-            return std::nullopt;
-        }
-        settings_walker walker{document};
-        auto settings = visit_all(walker);
-        walker.report_unknown();
-        faults_.insert(faults_.end(), walker.faults().begin(), walker.faults().end());
-        return faults_.empty() ? std::optional{std::move(settings)} : std::nullopt;
-    } catch (const nlohmann::json::parse_error& error) {
-        faults_.push_back({.key = "",
-                           .reason = settings_reason::not_json,
-                           .expected = "valid JSON up to byte " + std::to_string(error.byte)});
-    } catch (const nlohmann::json::exception&) {
-        faults_.push_back({.key = "", .reason = settings_reason::not_json, .expected = "valid JSON"});
-    }
-    return std::nullopt;
+    node_settings settings;
+    faults_ = internal::walk_document(text, [&settings](settings_walker& walker) { settings = visit_all(walker); });
+    return faults_.empty() ? std::optional{std::move(settings)} : std::nullopt;
 }
 
 std::vector<setting_description> settings_reader::descriptions() {
--- /dev/null
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -0,0 +1,148 @@
+#include "goldcrestwell/platform/sidecar.hpp"
+
+#include "goldcrestwell/platform/call_codec.hpp"
+#include "goldcrestwell/platform/names.hpp"
+#include "goldcrestwell/platform/operator_codec.hpp"
+#include "goldcrestwell/shell/structured_log.hpp"
+
+#include <utility>
+
+namespace goldcrestwell {
+
+namespace {
+
+void apply(const upstream_change change, const upstream_registry& registry, const endpoint& address,
+           node_process& process, const time_sample now) {
+    switch (change) {
+    case upstream_change::none:
+        return;
+    case upstream_change::leaving:
+        process.core().on_leaving(now);
+        return;
+    case upstream_change::started:
+        process.upstream().forget_connections();
+        process.upstream().set_upstream(address, registry.info().slots);
+        break;
+    case upstream_change::renewed:
+        break;
+    }
+    process.core().on_announce(registry.info(), now);
+}
+
+} // namespace
+
+sidecar::sidecar(event_loop& loop, const sidecar_settings& settings, node_process_options options)
+    : loop_{loop}, settings_{settings}, upstream_{{.service = settings.upstream_service,
+                                                   .address = settings.upstream_address}},
+      store_{loop, {.server = to_endpoint(settings.store), .timeout = settings.store_timeout}},
+      process_{loop, with_platform(std::move(options))}, listener_{loop, listener_options(settings)} {}
+
+// The upstream's first announcements come before anything else, so its listener is bound first.
+bool sidecar::start() {
+    if (!listener_.start()) {
+        failure_ = start_failure::announcement_listener;
+        return false;
+    }
+    if (!process_.start()) {
+        failure_ = process_.last_reason();
+    }
+    return failure_ == start_failure::none;
+}
+
+node_process_options sidecar::with_platform(node_process_options options) {
+    options.core.operators = operator_source_options{.long_poll = settings_.long_poll, .hooks = store_hooks()};
+    options.callers.to_call = [this](const http_exchange& exchange) {
+        return read_call(exchange, settings_.upstream_service);
+    };
+    options.callers.to_answer = write_result;
+    options.upstream.accept_unframed = true;
+    options.upstream.headers = [this](const call_request& call, const std::chrono::milliseconds timeout) {
+        return write_call(call, timeout, upstream_.id());
+    };
+    options.upstream.judge = judge_answer;
+    return options;
+}
+
+operator_source_hooks sidecar::store_hooks() {
+    const auto on_page = [this](const store_page& page) {
+        process_.core().on_store_page(page, loop_.now());
+    };
+    return {.read_newest = [this, on_page] { store_.read_newest(platform_names::operator_topic, on_page); },
+            .read_after =
+                [this, on_page](const log_offset after, const std::chrono::milliseconds wait) {
+                    store_.read_after(platform_names::operator_topic, after, wait, on_page);
+                },
+            .decode = decode_operator_record,
+            .read_statuses = [this] { read_statuses(); },
+            .write_status =
+                [this](const rollout_status& status, const log_offset at) {
+                    const auto record = encode_status(status);
+                    store_.append(
+                        platform_names::status_topic, record.key, record.payload, at,
+                        [this](const bool confirmed) { process_.core().on_status_written(confirmed, loop_.now()); });
+                },
+            .write_entry =
+                [this] {
+                    store_.append(platform_names::directory_topic, to_string(settings_.self),
+                                  settings_.data_centre.value, std::nullopt, [this](const bool confirmed) {
+                                      process_.core().on_entry_written(confirmed, loop_.now());
+                                  });
+                },
+            .read_entries =
+                [this] {
+                    read_entries();
+                }};
+}
+
+void sidecar::read_entries() {
+    store_.read_newest(platform_names::directory_topic, [this](const store_page& page) {
+        std::optional<std::vector<node_id>> nodes;
+        if (page.outcome == read_outcome::ok) {
+            nodes.emplace();
+            for (const auto& record : page.records) {
+                if (const auto node = parse_node_id(record.key)) {
+                    nodes->push_back(*node);
+                }
+            }
+        }
+        process_.core().on_entries(nodes, loop_.now());
+    });
+}
+
+void sidecar::read_statuses() {
+    store_.read_newest(platform_names::status_topic, [this](const store_page& page) {
+        std::optional<std::vector<rollout_status>> statuses;
+        if (page.outcome == read_outcome::ok) {
+            statuses.emplace();
+            for (const auto& record : page.records) {
+                if (const auto status = decode_status(record)) {
+                    statuses->push_back(*status);
+                }
+            }
+        }
+        process_.core().on_statuses(statuses, page.end, loop_.now());
+    });
+}
+
+platform_listener_options sidecar::listener_options(const sidecar_settings& settings) {
+    return {.ready = to_endpoint(settings.ready_listener),
+            .announcements = to_endpoint(settings.announcement_listener),
+            .is_ready = [this] { return process_.core().ready() && !process_.core().draining(); },
+            .on_announcement =
+                [this](const upstream_announcement& announcement) {
+                    apply(upstream_.on_announcement(announcement), upstream_, to_endpoint(settings_.upstream_address),
+                          process_, loop_.now());
+                },
+            .on_departure =
+                [this](const std::string_view id) {
+                    apply(upstream_.on_departure(id), upstream_, to_endpoint(settings_.upstream_address), process_,
+                          loop_.now());
+                },
+            .on_unreadable =
+                [this](const std::string_view id) {
+                    process_.core().counts().drops.add(drop_reason::announcement_unreadable);
+                    write_log(log_level::warning, "announcement_unreadable", {{"upstream", id}});
+                }};
+}
+
+} // namespace goldcrestwell
--- /dev/null
+++ b/src/goldcrestwell/platform/store_codec.cpp
@@ -0,0 +1,109 @@
+#include "goldcrestwell/platform/store_codec.hpp"
+
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace goldcrestwell {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t length_bytes = 4;
+constexpr std::size_t offset_bytes = 8;
+constexpr unsigned byte_bits = 8;
+constexpr unsigned base64_bits = 6;
+
+template <typename Integer>
+Integer read_big_endian(const std::string_view bytes) {
+    Integer value{};
+    for (const char byte : bytes.substr(0, sizeof(Integer))) {
+        value = static_cast<Integer>((value << byte_bits) | static_cast<unsigned char>(byte));
+    }
+    return value;
+}
+
+std::string decode_base64(std::string text) {
+    using namespace boost::archive::iterators;
+    using decoder = transform_width<binary_from_base64<std::string::const_iterator>, byte_bits, base64_bits>;
+    const auto padding = static_cast<std::size_t>(std::ranges::count(text, '='));
+    std::ranges::replace(text, '=', 'A');
+    std::string bytes(decoder{text.cbegin()}, decoder{text.cend()});
+    bytes.resize(bytes.size() - std::min(padding, bytes.size()));
+    return bytes;
+}
+
+// The platform numbers records from zero; here an offset counts the records up to and with its own.
+log_offset to_offset(const std::uint64_t number) {
+    return log_offset{number + 1};
+}
+
+bool is_base64(const std::string& text) {
+    return text.size() % length_bytes == 0 &&
+           text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/=") ==
+               std::string::npos;
+}
+
+} // namespace
+
+std::optional<newest_page> decode_newest(const std::string_view body) {
+    try {
+        const auto document = json::parse(body);
+        newest_page page{.end = log_offset{document.at("end").get<std::uint64_t>()},
+                         .more = document.value("more", false)};
+        for (const auto& item : document.at("items")) {
+            auto value = item.at("value").get<std::string>();
+            if (!is_base64(value)) {
+                return std::nullopt;
+            }
+            page.records.push_back({.offset = to_offset(item.at("offset").get<std::uint64_t>()),
+                                    .key = item.at("key").get<std::string>(),
+                                    .payload = decode_base64(std::move(value))});
+        }
+        return page;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::optional<record_page> decode_records(std::string_view body, const std::uint64_t from) {
+    if (body.size() < 2 * offset_bytes) {
+        return std::nullopt;
+    }
+    record_page page{.end = log_offset{read_big_endian<std::uint64_t>(body)}};
+    body.remove_prefix(2 * offset_bytes);
+    auto number = from;
+    while (!body.empty()) {
+        if (body.size() < length_bytes) {
+            return std::nullopt;
+        }
+        const std::size_t length = read_big_endian<std::uint32_t>(body);
+        body.remove_prefix(length_bytes);
+        const std::size_t key_length = body.empty() ? 0 : static_cast<unsigned char>(body.front());
+        if (body.size() < length || length < 1 + key_length) {
+            return std::nullopt;
+        }
+        page.records.push_back({.offset = to_offset(number++),
+                                .key = std::string{body.substr(1, key_length)},
+                                .payload = std::string{body.substr(1 + key_length, length - 1 - key_length)}});
+        body.remove_prefix(length);
+    }
+    // A page may hold fewer records than the topic; the next read goes on behind its last one.
+    page.end = log_offset{number};
+    return page;
+}
+
+std::string encode_record(const std::string_view key, const std::string_view payload) {
+    const auto length = static_cast<std::uint32_t>(1 + key.size() + payload.size());
+    std::string bytes;
+    for (unsigned shift = length_bytes * byte_bits; shift > 0; shift -= byte_bits) {
+        bytes += static_cast<char>((length >> (shift - byte_bits)) & 0xFFU);
+    }
+    bytes += static_cast<char>(key.size());
+    return bytes.append(key).append(payload);
+}
+
+} // namespace goldcrestwell
