Let a later rank wait for its turn before it raises a stage

Cause: the wait of a rank was computed with an unsigned factor, so the time that was left wrapped round and the second and third decider raised every stage at once. Change: the factor is signed; a test fails without it.

--- a/src/goldcrestwell/core/rollout/service_rollouts.cpp
+++ b/src/goldcrestwell/core/rollout/service_rollouts.cpp
@@ -228,7 +228,7 @@
     if (!options_.has_upstream(move.order.service, move.order.target)) {
         return false;
     }
-    const auto late = options_.takeover_after * own_rank;
+    const auto late = options_.takeover_after * static_cast<milliseconds::rep>(own_rank);
     const auto elapsed = now.steady - move.learned.steady - late;
     const std::chrono::duration<double, std::milli> usable =
         std::max(move.order.duration - options_.margin, move.order.duration / 2);
@@ -246,7 +246,7 @@
         return;
     }
     if (!move.record_at) {
-        move.record_at = now.steady + own_rank * record_again;
+        move.record_at = now.steady + record_again * static_cast<milliseconds::rep>(own_rank);
     }
     if (now.steady >= *move.record_at) {
         move.record_at = now.steady + record_again;
--- /dev/null
+++ b/test/core/rollout/service_rollouts.cpp
@@ -0,0 +1,149 @@
+#include "goldcrestwell/core/rollout/service_rollouts.hpp"
+
+#include "goldcrestwell/core/common/rendezvous.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace goldcrestwell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const service_name orders{"orders"};
+const upstream_version old_version{"v1"};
+const upstream_version new_version{"v2"};
+constexpr seconds duration{15};
+
+std::vector<node_id> ranked_nodes() {
+    std::vector<node_id> nodes;
+    for (std::uint32_t address = 1; address <= 5; ++address) {
+        nodes.emplace_back(address, std::uint16_t{7000});
+    }
+    return rendezvous_order(stable_hash(orders.value), nodes);
+}
+
+/** @brief One node of five, by its rank in the order that decides about the service. */
+struct fixture {
+    explicit fixture(const std::size_t rank = 0)
+        : rollouts{{.self = ranked_nodes()[rank],
+                    .nodes = ranked_nodes,
+                    .has_upstream = [](const service_name&, const upstream_version&) { return true; },
+                    .service_of = [](node_id) { return orders; },
+                    .broadcast = [this](const move_update& update) { broadcasts.push_back(update); },
+                    .send_evidence = [](node_id, const evidence_report&) {},
+                    .record_status = [this](const rollout_status& status) { statuses.push_back(status); }}} {
+        rollouts.on_upstream(orders, old_version);
+    }
+
+    void order() {
+        rollouts.on_order({.service = orders, .target = new_version, .duration = duration}, log_offset{3}, now);
+    }
+
+    /** @brief Lets time pass while both versions answer calls. */
+    void run(const milliseconds time, const std::uint32_t failures_in_ten = 0) {
+        constexpr milliseconds step{100};
+        for (milliseconds passed{}; passed < time; passed += step) {
+            now.steady += step;
+            now.wall += step;
+            report(old_version, 10, 0);
+            if (share_of(rollouts.shares(orders), new_version) > share{}) {
+                report(new_version, 10, failures_in_ten);
+            }
+            if (rollouts.next_timer() && *rollouts.next_timer() <= now.steady) {
+                rollouts.on_timer(now);
+            }
+        }
+    }
+
+    void report(const upstream_version& version, const std::uint32_t calls, const std::uint32_t failures) {
+        evidence_window window{.row = {.route = {"r"}, .version = version}, .calls = calls, .failures = failures};
+        window.latencies[10] = calls - failures;
+        rollouts.on_evidence({.from = ranked_nodes()[4], .windows = {window}}, now);
+    }
+
+    [[nodiscard]] share candidate_share() const { return share_of(rollouts.shares(orders), new_version); }
+
+    time_sample now{.steady = steady_time{seconds{1'000}}, .wall = wall_time{seconds{1'000'000}}};
+    std::vector<move_update> broadcasts;
+    std::vector<rollout_status> statuses;
+    service_rollouts rollouts;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(service_rollout)
+
+// Guards against traffic to a version that nobody has ordered yet.
+BOOST_AUTO_TEST_CASE(version_without_an_order_gets_nothing) {
+    fixture node;
+    node.rollouts.on_upstream(orders, new_version);
+    BOOST_TEST((share_of(node.rollouts.shares(orders), old_version) == full_share));
+}
+
+// Guards against a move that ends late or skips its trial.
+BOOST_AUTO_TEST_CASE(good_version_is_tried_and_moved_in_time) {
+    fixture node;
+    node.order();
+    node.run(seconds{1});
+    BOOST_TEST((node.candidate_share() > share{} && node.candidate_share() <= share{100'000}));
+    node.run(seconds{5});
+    BOOST_TEST((node.candidate_share() <= share{100'000}));
+    node.run(seconds{8});
+    BOOST_TEST((node.candidate_share() == full_share));
+    BOOST_REQUIRE(!node.statuses.empty());
+    BOOST_TEST((node.statuses.back().phase == rollout_phase::completed));
+}
+
+// Guards against a second decider that raises the stages at once: the difference of its unsigned rank and a shorter
+// elapsed time wrapped round.
+BOOST_AUTO_TEST_CASE(later_rank_waits_for_its_turn) {
+    fixture node{1};
+    node.order();
+    node.run(milliseconds{300});
+    BOOST_TEST((node.candidate_share() == share{}));
+    node.run(seconds{3});
+    BOOST_TEST((node.candidate_share() <= share{100'000}));
+}
+
+// Guards against a faulty version that keeps its share after its faults show.
+BOOST_AUTO_TEST_CASE(failing_version_is_taken_back_within_a_second) {
+    fixture node;
+    node.order();
+    node.run(seconds{2});
+    node.run(seconds{1}, 4);
+    BOOST_TEST((node.candidate_share() == share{}));
+    BOOST_TEST(node.rollouts.withdrawn(orders, new_version));
+    BOOST_TEST((node.statuses.back().phase == rollout_phase::taken_back));
+}
+
+// Guards against a record that a lost answer of the store leaves out.
+BOOST_AUTO_TEST_CASE(state_is_recorded_again_until_it_is_read_back) {
+    fixture node;
+    node.order();
+    node.run(seconds{2}, 4);
+    const auto asked = node.statuses.size();
+    node.run(seconds{4});
+    BOOST_TEST(node.statuses.size() > asked);
+    node.rollouts.on_recorded(node.statuses.back(), node.now);
+    const auto recorded = node.statuses.size();
+    node.run(seconds{4});
+    BOOST_TEST(node.statuses.size() == recorded);
+}
+
+// Guards against states that overtake their order on the way from another node.
+BOOST_AUTO_TEST_CASE(state_that_comes_before_its_order_is_kept) {
+    fixture node{4};
+    node.rollouts.on_update({.key = {.row = {.route = {orders.value}, .version = new_version},
+                                     .row_version = log_offset{3}},
+                             .state = {.stage = 2}},
+                            node.now);
+    BOOST_TEST((node.candidate_share() == share{}));
+    node.order();
+    BOOST_TEST((node.candidate_share() > share{100'000}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
