Order waiting attempts by whether they can be in time

The selector also counted its own calls twice, once in flight and once in the node's report, and so left the own data centre early.

Change: work_queue serves attempts that can still be in time first, by priority and due time; late ones take what is left and only a few wait. Service times are learned for each row. A refusal for lack of room names the time until there is room, spread over callers. The selector subtracts its own calls from a report. Weighed: refusing all late attempts (loses the part of the value that a late answer has); last in, first out (no regard to objectives, which differ from 150 to 600 ms).

--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestwell/core/call/attempt_ledger.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -13,6 +14,10 @@
 constexpr int service_time_weight = 8;
 // With the mean alone, a tenth of the answers came after a deadline of five service times at twice capacity.
 constexpr int deviations = 2;
+// Attempts that will be late wait for one slot in two at most.
+constexpr std::uint32_t late_part = 2;
+// Halves of the objective after which a waiting attempt is refused, so that its caller can still go elsewhere.
+constexpr int late_patience = 3;
 
 row_key row_of(const attempt_request& request) {
     return {.route = request.route, .version = request.version};
@@ -73,8 +78,8 @@
         upstream && upstream_ && upstream->service == upstream_->service && upstream->version == upstream_->version;
     if (!same) {
         upstream_since_ = now.steady;
-        service_time_ = {};
-        service_deviation_ = {};
+        overall_ = {};
+        estimates_.clear();
     }
     upstream_ = std::move(upstream);
     refuse_mismatched(now.steady);
@@ -124,7 +129,7 @@
         send_result(id, call_refusal{.reason = refusal_reason::duplicate, .state = run_state::unknown});
         return;
     }
-    if (const auto reason = admission(request); reason != refusal_reason::none) {
+    if (const auto reason = admission(request, now.steady); reason != refusal_reason::none) {
         refuse_new(id, reason, now.steady);
         return;
     }
@@ -132,7 +137,7 @@
     start_next(now.steady);
 }
 
-refusal_reason attempt_ledger::admission(const attempt_request& request) const {
+refusal_reason attempt_ledger::admission(const attempt_request& request, const steady_time now) const {
     if (draining_) {
         return refusal_reason::draining;
     }
@@ -151,10 +156,10 @@
     if (options_.refuses && options_.refuses(row_of(request))) {
         return refusal_reason::upstream_failing;
     }
-    return queue_verdict(request);
+    return queue_verdict(request, now);
 }
 
-refusal_reason attempt_ledger::queue_verdict(const attempt_request& request) const {
+refusal_reason attempt_ledger::queue_verdict(const attempt_request& request, const steady_time now) const {
     const auto row = row_of(request);
     const auto row_slots = row_capacity(request.limits);
     if (running_ < capacity() && queue_.running(row) < row_slots) {
@@ -168,17 +173,37 @@
     if (!options_.deadline_aware) {
         return refusal_reason::none;
     }
+    if (request.objective > std::chrono::milliseconds{}) {
+        return objective_verdict(request, now);
+    }
     const auto turns =
         std::max(static_cast<double>(queue_.size() + 1) / capacity(), static_cast<double>(waiting + 1) / row_slots);
-    const std::chrono::duration<double, std::micro> expected = service_time_ * turns + needed_time();
+    const std::chrono::duration<double, std::micro> expected = overall_.mean * turns + needed_time();
     return expected > request.call.timeout ? refusal_reason::deadline_passed : refusal_reason::none;
 }
 
+// An attempt that can be answered in time may wait. One that will be late may take what is left over, and little is
+// left while others wait, so only a few of them wait.
+refusal_reason attempt_ledger::objective_verdict(const attempt_request& request, const steady_time now) const {
+    const auto rank = rank_of(request, now);
+    const auto finish = expected_wait(rank, now) + service_time(row_of(request));
+    if (finish <= request.objective) {
+        return refusal_reason::none;
+    }
+    const auto late = queue_.late([this](const row_key& row) { return service_time(row); }, now);
+    const auto room = late < std::max<size_type>(capacity() / late_part, 1);
+    return room && finish <= request.call.timeout ? refusal_reason::none : refusal_reason::deadline_passed;
+}
+
 void attempt_ledger::enqueue(const attempt_request& request, const steady_time now) {
     entry item{.request = request};
     item.deadline = now + request.call.timeout;
-    deadlines_.emplace(item.deadline, request.id);
-    queue_.push(row_of(request), request.id);
+    item.wait_until = item.deadline;
+    if (request.objective > std::chrono::milliseconds{}) {
+        item.wait_until = std::min(item.deadline, now + request.objective * late_patience / 2);
+    }
+    deadlines_.emplace(item.wait_until, request.id);
+    queue_.push(row_of(request), request.id, rank_of(request, now));
     active_.emplace(request.id, std::move(item));
 }
 
@@ -187,7 +212,8 @@
         return row_capacity(active_.at(id).request.limits);
     };
     while (upstream_ && running_ < capacity()) {
-        const auto id = queue_.pop(limit);
+        const auto id = queue_.pop(
+            limit, [this](const row_key& row) { return service_time(row); }, now);
         if (!id) {
             return;
         }
@@ -207,7 +233,7 @@
     if (!options_.invariants->check(invariant_id::at_most_once, unused)) {
         return;
     }
-    deadlines_.erase({item.deadline, id});
+    deadlines_.erase({item.wait_until, id});
     item.running = true;
     item.started = now;
     item.cold = now - upstream_since_ < options_.cold_time;
@@ -298,16 +324,53 @@
         return;
     }
     const auto taken = now - item.started;
-    if (service_time_ == std::chrono::microseconds{}) {
-        service_time_ = taken;
+    overall_.add(taken);
+    estimates_[row_of(item.request)].add(taken);
+}
+
+void attempt_ledger::service_estimate::add(const std::chrono::microseconds taken) {
+    if (mean == std::chrono::microseconds{}) {
+        mean = taken;
         return;
     }
-    service_deviation_ += (std::chrono::abs(taken - service_time_) - service_deviation_) / service_time_weight;
-    service_time_ += (taken - service_time_) / service_time_weight;
+    deviation += (std::chrono::abs(taken - mean) - deviation) / service_time_weight;
+    mean += (taken - mean) / service_time_weight;
 }
 
 std::chrono::microseconds attempt_ledger::needed_time() const {
-    return service_time_ + deviations * service_deviation_;
+    return overall_.mean + deviations * overall_.deviation;
+}
+
+std::chrono::microseconds attempt_ledger::service_time(const row_key& row) const {
+    const auto found = estimates_.find(row);
+    return found == estimates_.end() ? overall_.mean : found->second.mean;
+}
+
+queue_rank attempt_ledger::rank_of(const attempt_request& request, const steady_time now) {
+    const auto stated = request.objective > std::chrono::milliseconds{};
+    return {.priority = request.priority, .due = stated ? now + request.objective : steady_time::max()};
+}
+
+std::chrono::microseconds attempt_ledger::expected_wait(const queue_rank& rank, const steady_time now) const {
+    const auto slots = capacity();
+    if (slots == 0 || running_ < slots) {
+        return {};
+    }
+    const auto before = queue_.work_before(
+        rank, [this](const row_key& row) { return service_time(row); }, now);
+    // The next slot becomes free after about one service time divided by the slots.
+    return (before + overall_.mean) / slots;
+}
+
+std::chrono::milliseconds attempt_ledger::retry_after(const attempt_id& id, const steady_time now) const {
+    constexpr std::uint64_t spread_steps = 8;
+    if (options_.shortest_retry == std::chrono::milliseconds{}) {
+        return {};
+    }
+    const auto wait = expected_wait({.priority = std::numeric_limits<std::uint32_t>::max()}, now);
+    const auto base = std::max(std::chrono::ceil<std::chrono::milliseconds>(wait), options_.shortest_retry);
+    return base +
+           base * static_cast<std::int64_t>(id.sequence % spread_steps) / static_cast<std::int64_t>(spread_steps);
 }
 
 void attempt_ledger::observe(const entry& item, const upstream_result& result, const steady_time now) {
--- a/src/goldcrestwell/core/call/attempt_ledger.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.hpp
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -49,11 +50,19 @@
         bool running{};
         bool cold{};
         bool aborted{};
+        /** @brief When a waiting attempt is refused. */
+        steady_time wait_until{};
+    };
+    /** @brief Time that calls of a row take, exponentially averaged. */
+    struct service_estimate {
+        std::chrono::microseconds mean{};
+        std::chrono::microseconds deviation{};
+        void add(std::chrono::microseconds taken);
     };
     using entry_map = std::unordered_map<attempt_id, entry, attempt_hash>;
 
-    [[nodiscard]] refusal_reason admission(const attempt_request& request) const;
-    [[nodiscard]] refusal_reason queue_verdict(const attempt_request& request) const;
+    [[nodiscard]] refusal_reason admission(const attempt_request& request, steady_time now) const;
+    [[nodiscard]] refusal_reason queue_verdict(const attempt_request& request, steady_time now) const;
     void enqueue(const attempt_request& request, steady_time now);
     void start_next(steady_time now);
     void run(const attempt_id& id, entry& item, steady_time now);
@@ -63,9 +72,18 @@
     void refuse_mismatched(steady_time now);
     void learn_service_time(const entry& item, const upstream_result& result, steady_time now);
     void send_result(const attempt_id& id, const call_result& result);
+    void send_refusal(const attempt_id& id, refusal_reason reason, steady_time now);
     void observe(const entry& item, const upstream_result& result, steady_time now);
     /** @return Time that a call should have left when it starts. */
     [[nodiscard]] std::chrono::microseconds needed_time() const;
+    /** @return Time that a call of a row is expected to take. */
+    [[nodiscard]] std::chrono::microseconds service_time(const row_key& row) const;
+    /** @return Time until a new attempt would get a slot. */
+    [[nodiscard]] std::chrono::microseconds expected_wait(const queue_rank& rank, steady_time now) const;
+    [[nodiscard]] static queue_rank rank_of(const attempt_request& request, steady_time now);
+    /** @return When a refused caller may find room; spread by the id, so that callers do not come back together. */
+    [[nodiscard]] std::chrono::milliseconds retry_after(const attempt_id& id, steady_time now) const;
+    [[nodiscard]] refusal_reason objective_verdict(const attempt_request& request, steady_time now) const;
     [[nodiscard]] std::uint32_t capacity() const;
     [[nodiscard]] std::uint32_t row_capacity(const row_limits& limits) const;
 
@@ -76,10 +94,9 @@
     work_queue queue_;
     attempt_archive archive_;
     std::set<std::pair<steady_time, attempt_id>> deadlines_;
-    /** @brief Recent service time of the upstream, exponentially averaged. */
-    std::chrono::microseconds service_time_{};
-    /** @brief Average distance of service times from `service_time_`. */
-    std::chrono::microseconds service_deviation_{};
+    /** @brief Of all calls, for rows that had none yet. */
+    service_estimate overall_;
+    std::map<row_key, service_estimate> estimates_;
     size_type running_{};
     bool draining_{};
 };
--- a/src/goldcrestwell/core/call/attempt_ledger_options.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger_options.hpp
@@ -33,6 +33,8 @@
     std::size_t max_queue{2'000};
     /** @brief Reject calls that can not be finished in time as soon as this is known. */
     bool deadline_aware{true};
+    /** @brief Shortest time after which a refused caller is told to come back; zero states no time. */
+    std::chrono::milliseconds shortest_retry{};
     /** @brief Time after an upstream's start during which its latency says nothing about its version. */
     std::chrono::milliseconds cold_time{10'000};
 
--- a/src/goldcrestwell/core/call/attempt_ledger_replies.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger_replies.cpp
@@ -42,7 +42,14 @@
         options_.send(id.origin, attempt_status{.id = id, .progress = attempt_progress::never_seen});
         return;
     }
-    send_result(id, call_refusal{.reason = reason, .state = run_state::not_run});
+    send_refusal(id, reason, now);
+}
+
+void attempt_ledger::send_refusal(const attempt_id& id, const refusal_reason reason, const steady_time now) {
+    const auto full = reason == refusal_reason::deadline_passed || reason == refusal_reason::queue_full;
+    send_result(id, call_refusal{.reason = reason,
+                                 .state = run_state::not_run,
+                                 .retry_after = full ? retry_after(id, now) : std::chrono::milliseconds{}});
 }
 
 void attempt_ledger::refuse_queued(const entry_map::iterator found, const refusal_reason reason,
@@ -57,11 +64,11 @@
         return;
     }
     queue_.erase({.route = item.request.route, .version = item.request.version}, id);
-    deadlines_.erase({item.deadline, id});
+    deadlines_.erase({item.wait_until, id});
     active_.erase(found);
     options_.counts->attempt_refusals.add(reason);
     archive_.add(id, {.reason = reason, .state = run_state::not_run, .answer = nullptr}, now);
-    send_result(id, call_refusal{.reason = reason, .state = run_state::not_run});
+    send_refusal(id, reason, now);
 }
 
 void attempt_ledger::repeat(const attempt_id& id, const archived_attempt& ended) {
--- a/src/goldcrestwell/core/call/work_queue.cpp
+++ b/src/goldcrestwell/core/call/work_queue.cpp
@@ -1,12 +1,16 @@
 #include "goldcrestwell/core/call/work_queue.hpp"
 
+#include <iterator>
+#include <tuple>
+
 namespace goldcrestwell {
 
-void work_queue::push(const row_key& row, const attempt_id& id) {
+void work_queue::push(const row_key& row, const attempt_id& id, const queue_rank& rank) {
     auto& state = rows_[row];
-    const auto position = ++last_position_;
-    state.waiting.emplace(position, id);
-    state.positions.emplace(id, position);
+    state.priority = rank.priority;
+    const place where{rank.due, ++last_position_};
+    state.waiting.emplace(where, id);
+    state.places.emplace(id, where);
     ++size_;
 }
 
@@ -16,9 +20,9 @@
         return;
     }
     auto& state = found->second;
-    if (const auto position = state.positions.find(id); position != state.positions.end()) {
-        state.waiting.erase(position->second);
-        state.positions.erase(position);
+    if (const auto where = state.places.find(id); where != state.places.end()) {
+        state.waiting.erase(where->second);
+        state.places.erase(where);
         --size_;
     }
     if (state.waiting.empty() && state.running == 0) {
@@ -26,24 +30,39 @@
     }
 }
 
-std::optional<attempt_id> work_queue::pop(const std::function<std::uint32_t(const attempt_id&)>& row_limit) {
+work_queue::row_head work_queue::head_of(const row_state& state, const std::chrono::microseconds needed,
+                                         const steady_time now) {
+    const auto in_time = state.waiting.lower_bound({now + needed, 0});
+    if (in_time != state.waiting.end()) {
+        return {.entry = in_time, .in_time = true};
+    }
+    return {.entry = state.waiting.begin(), .in_time = false};
+}
+
+std::optional<attempt_id> work_queue::pop(const std::function<std::uint32_t(const attempt_id&)>& row_limit,
+                                          const time_hook& needed, const steady_time now) {
     row_state* best = nullptr;
+    row_head best_head;
+    const auto order = [](const row_state& state, const row_head& head) {
+        return std::tuple{!head.in_time, state.priority, head.entry->first};
+    };
     for (auto& [row, state] : rows_) {
         if (state.waiting.empty()) {
             continue;
         }
-        const auto& [position, id] = *state.waiting.begin();
-        const auto earlier = best == nullptr || position < best->waiting.begin()->first;
-        if (earlier && state.running < row_limit(id)) {
+        const auto head = head_of(state, needed(row), now);
+        const auto earlier = best == nullptr || order(state, head) < order(*best, best_head);
+        if (earlier && state.running < row_limit(head.entry->second)) {
             best = &state;
+            best_head = head;
         }
     }
     if (best == nullptr) {
         return std::nullopt;
     }
-    const auto id = best->waiting.begin()->second;
-    best->waiting.erase(best->waiting.begin());
-    best->positions.erase(id);
+    const auto id = best_head.entry->second;
+    best->waiting.erase(best_head.entry);
+    best->places.erase(id);
     --size_;
     return id;
 }
@@ -59,6 +78,33 @@
     }
 }
 
+std::chrono::microseconds work_queue::work_before(const queue_rank& rank, const time_hook& needed,
+                                                  const steady_time now) const {
+    std::chrono::microseconds work{};
+    for (const auto& [row, state] : rows_) {
+        if (state.waiting.empty() || state.priority > rank.priority) {
+            continue;
+        }
+        const auto each = needed(row);
+        const auto first = state.waiting.lower_bound({now + each, 0});
+        const auto last = state.priority < rank.priority ? state.waiting.end()
+                                                         : state.waiting.upper_bound({rank.due, last_position_});
+        for (auto entry = first; entry != last && entry != state.waiting.end(); ++entry) {
+            work += each;
+        }
+    }
+    return work;
+}
+
+work_queue::size_type work_queue::late(const time_hook& needed, const steady_time now) const {
+    size_type count = 0;
+    for (const auto& [row, state] : rows_) {
+        const auto in_time = state.waiting.lower_bound({now + needed(row), 0});
+        count += static_cast<size_type>(std::distance(state.waiting.begin(), in_time));
+    }
+    return count;
+}
+
 work_queue::size_type work_queue::queued(const row_key& row) const {
     const auto found = rows_.find(row);
     return found == rows_.end() ? 0 : found->second.waiting.size();
--- a/src/goldcrestwell/core/call/work_queue.hpp
+++ b/src/goldcrestwell/core/call/work_queue.hpp
@@ -2,39 +2,76 @@
 #define GOLDCRESTWELL_CORE_CALL_WORK_QUEUE_HPP
 
 #include "goldcrestwell/core/common/attempt_id.hpp"
+#include "goldcrestwell/core/common/time.hpp"
 #include "goldcrestwell/core/message/row_key.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace goldcrestwell {
 
-/** @brief Attempts waiting for a slot in order of arrival, and the calls running, by row. */
+/** @brief What decides about the turn of a waiting attempt. */
+struct queue_rank {
+    /** @brief 0 is the most urgent. */
+    std::uint32_t priority{};
+    /** @brief When the answer should be there; the latest time if no objective is stated. */
+    steady_time due{steady_time::max()};
+};
+
+/**
+ * @brief Attempts waiting for a slot, and the calls running, by row.
+ *
+ * Attempts that can still be answered when they are due go first, the most urgent ones before all, then the earliest
+ * due. Attempts that will be late get the turns that are left, so that in an overload slots are not spent on answers
+ * that have lost their value. Without objectives the order is that of arrival.
+ */
 class work_queue {
 public:
     using size_type = std::size_t;
+    /** @brief Time that a call of a row takes. */
+    using time_hook = std::function<std::chrono::microseconds(const row_key&)>;
 
-    void push(const row_key& row, const attempt_id& id);
+    void push(const row_key& row, const attempt_id& id, const queue_rank& rank = {});
     void erase(const row_key& row, const attempt_id& id);
-    /** @param row_limit Calls of a row that may run now. */
-    [[nodiscard]] std::optional<attempt_id> pop(const std::function<std::uint32_t(const attempt_id&)>& row_limit);
+    /**
+     * @param row_limit Calls of a row that may run now.
+     * @param needed Time that a call of a row takes.
+     */
+    [[nodiscard]] std::optional<attempt_id> pop(const std::function<std::uint32_t(const attempt_id&)>& row_limit,
+                                                const time_hook& needed, steady_time now);
 
     void on_started(const row_key& row) { ++rows_[row].running; }
     void on_finished(const row_key& row);
 
+    /** @return Slot time of the waiting attempts that get their turn before a new one of that rank. */
+    [[nodiscard]] std::chrono::microseconds work_before(const queue_rank& rank, const time_hook& needed,
+                                                        steady_time now) const;
+    /** @return Waiting attempts that will be late. */
+    [[nodiscard]] size_type late(const time_hook& needed, steady_time now) const;
     [[nodiscard]] size_type queued(const row_key& row) const;
     [[nodiscard]] std::uint32_t running(const row_key& row) const;
     [[nodiscard]] size_type size() const noexcept { return size_; }
 
 private:
+    using place = std::pair<steady_time, std::uint64_t>;
     struct row_state {
-        std::map<std::uint64_t, attempt_id> waiting;
-        std::map<attempt_id, std::uint64_t> positions;
+        std::uint32_t priority{};
+        std::map<place, attempt_id> waiting;
+        std::map<attempt_id, place> places;
         std::uint32_t running{};
     };
+    /** @brief First attempt of a row that is in time, and whether there is one. */
+    struct row_head {
+        std::map<place, attempt_id>::const_iterator entry;
+        bool in_time{};
+    };
+
+    [[nodiscard]] static row_head head_of(const row_state& state, std::chrono::microseconds needed, steady_time now);
 
     std::map<row_key, row_state> rows_;
     size_type size_{};
--- a/src/goldcrestwell/core/node/node_options.hpp
+++ b/src/goldcrestwell/core/node/node_options.hpp
@@ -27,6 +27,8 @@
     std::uint32_t max_redirects{0};
     /** @brief Time after which a refused caller may come back, if nothing better is known; zero states none. */
     std::chrono::milliseconds retry_after{};
+    /** @brief Shortest time after which a caller refused for lack of room may come back; zero states none. */
+    std::chrono::milliseconds shortest_retry{};
     retry_budget_options retries;
 };
 
--- a/src/goldcrestwell/core/node/node_wiring.cpp
+++ b/src/goldcrestwell/core/node/node_wiring.cpp
@@ -112,6 +112,7 @@
 attempt_ledger_options node::make_ledger_options() {
     return {.self = options_.self,
             .life = options_.life,
+            .shortest_retry = options_.calls.shortest_retry,
             .send = [this](const node_id to, const peer_message& message) { send_call_frame(to, message); },
             .start_upstream = options_.hooks.start_upstream,
             .abort_upstream = options_.hooks.abort_upstream,
--- a/src/goldcrestwell/core/routing/upstream_selector.cpp
+++ b/src/goldcrestwell/core/routing/upstream_selector.cpp
@@ -49,7 +49,9 @@
         const auto& state = found->second;
         load += state.in_flight;
         if (wanted.use_reports && wanted.now - state.reported_at < options_.report_lifetime) {
-            load += std::min(state.reported, slots * reported_slots_limit);
+            // What is in flight from here was part of the report.
+            const auto others = state.reported - std::min(state.reported, state.counted);
+            load += std::min(others, slots * reported_slots_limit);
         }
     }
     return load / slots;
@@ -157,6 +159,7 @@
 void upstream_selector::on_load(const node_id node, const std::uint32_t load, const steady_time now) {
     if (const auto found = nodes_.find(node.value()); found != nodes_.end()) {
         found->second.reported = load;
+        found->second.counted = found->second.in_flight;
         found->second.reported_at = now;
     }
 }
--- a/src/goldcrestwell/core/routing/upstream_selector.hpp
+++ b/src/goldcrestwell/core/routing/upstream_selector.hpp
@@ -60,6 +60,8 @@
     struct node_state {
         std::uint32_t in_flight{};
         std::uint32_t reported{};
+        /** @brief Calls in flight from here when the report came; they are part of it. */
+        std::uint32_t counted{};
         steady_time reported_at{};
     };
     struct choice {
