--- a/src/goldcrestwell/cli/sidecar_options.cpp
+++ b/src/goldcrestwell/cli/sidecar_options.cpp
@@ -34,6 +34,7 @@
 constexpr milliseconds lonely_start{1'500};
 constexpr std::size_t control_bytes_per_second = 20'000;
 constexpr milliseconds default_retry_after{300};
+constexpr milliseconds shortest_retry_after{100};
 constexpr std::uint32_t redirects = 3;
 // A refused or hung connection to the upstream on the same host shows at once.
 constexpr milliseconds connect_timeout{250};
@@ -53,7 +54,8 @@
         .control_bytes_per_second = control_bytes_per_second,
         .calls = {.max_redirects = redirects,
                   .retry_after = default_retry_after,
-                  .retries = {.per_call = retries_per_call, .per_second = retries_per_second, .saved = retries_saved}},
+                  .shortest_retry = shortest_retry_after,
+                      .retries = {.per_call = retries_per_call, .per_second = retries_per_second, .saved = retries_saved}},
         .announcement_expiry = settings.announcement_interval * announcements_missed,
         .drain_linger = drain_notice,
         .drain_notice = drain_notice,
