Keep a part of the turns for routes that are less urgent

Change: one turn in eight goes to the attempt in time that has waited longest. Calls with large answers leave their data centre only for a much shorter queue, since what those routes gain crosses data centres.

--- a/src/goldcrestwell/core/call/call_dispatcher.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.cpp
@@ -128,6 +128,7 @@
         return;
     }
     const auto& answer = std::get<http_answer>(reply.result);
+    learn_size(state.route.route, answer);
     if (try_again_after(found, answer, now)) {
         return;
     }
--- a/src/goldcrestwell/core/call/call_dispatcher.hpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.hpp
@@ -81,6 +81,8 @@
     [[nodiscard]] refusal_reason check_request(const call_request& request) const;
     [[nodiscard]] bool send_attempt(std::uint64_t key, call_state& state, bool first, time_sample now);
     [[nodiscard]] std::optional<upstream_version> pick_version(const call_state& state, bool first);
+    [[nodiscard]] double far_penalty(const route_name& route) const;
+    void learn_size(const route_name& route, const http_answer& answer);
     [[nodiscard]] std::optional<node_id> pick_node(const call_state& state, const upstream_version& version,
                                                    const row_terms& terms, time_sample now);
     [[nodiscard]] static std::chrono::milliseconds objective_left(const call_state& state, const row_terms& terms,
@@ -113,6 +115,8 @@
     peer_watch peers_;
     std::map<service_name, service_state> services_;
     std::map<route_name, share_picker> pickers_;
+    /** @brief Average size of a route's answers, in bytes. */
+    std::map<route_name, double> answer_bytes_;
     std::uint64_t last_call_{};
     std::uint64_t last_sequence_{};
 };
--- a/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
@@ -16,6 +16,14 @@
 // Versions of a service that no longer get calls are forgotten above this number.
 constexpr std::size_t most_selectors = 16;
 
+// A call leaves the own data centre only for a queue that is shorter by a quarter of the slots, because reports of far
+// nodes are as old as those of near ones; for larger answers by more, up to a whole queue of two calls a slot.
+constexpr double least_far_penalty = 0.25;
+constexpr double bytes_of_a_penalty = 32'768.0;
+constexpr double most_far_penalty = 2.0;
+// Each answer moves the average by an eighth.
+constexpr double answer_bytes_weight = 8.0;
+
 bool is_safe_method(const std::string_view method) {
     constexpr std::array<std::string_view, 3> safe{"GET", "HEAD", "OPTIONS"};
     return std::ranges::find(safe, method) != safe.end();
@@ -80,11 +88,24 @@
     return first ? picker->second.pick(shares, usable) : picker->second.pick_again(shares, usable);
 }
 
+// Answers of some hundred kilobytes fill the links between data centres long before the upstreams are busy.
+double call_dispatcher::far_penalty(const route_name& route) const {
+    const auto found = answer_bytes_.find(route);
+    const auto bytes = found == answer_bytes_.end() ? 0.0 : found->second;
+    return std::min(least_far_penalty + bytes / bytes_of_a_penalty, most_far_penalty);
+}
+
+void call_dispatcher::learn_size(const route_name& route, const http_answer& answer) {
+    const auto size = static_cast<double>(answer.body.size());
+    const auto [known, created] = answer_bytes_.try_emplace(route, size);
+    known->second += (size - known->second) / answer_bytes_weight;
+}
+
 std::optional<node_id> call_dispatcher::pick_node(const call_state& state, const upstream_version& version,
                                                   const row_terms& terms, const time_sample now) {
     const auto candidates = options_.candidates(state.route.service, version);
     return selector(state.route.service, version)
-        .select(candidates, state.tried, now.steady, terms.limits.max_in_flight);
+        .select(candidates, state.tried, now.steady, terms.limits.max_in_flight, far_penalty(state.route.route));
 }
 
 bool call_dispatcher::send_attempt(const std::uint64_t key, call_state& state, const bool first,
--- a/src/goldcrestwell/core/call/work_queue.cpp
+++ b/src/goldcrestwell/core/call/work_queue.cpp
@@ -43,8 +43,11 @@
                                           const time_hook& needed, const steady_time now) {
     row_state* best = nullptr;
     row_head best_head;
-    const auto order = [](const row_state& state, const row_head& head) {
-        return std::tuple{!head.in_time, state.priority, head.entry->first};
+    const auto by_arrival = ++turns_ % turns_by_arrival == 0;
+    const auto order = [by_arrival](const row_state& state, const row_head& head) {
+        const auto& [due, position] = head.entry->first;
+        const auto oldest = by_arrival && head.in_time;
+        return std::tuple{!head.in_time, oldest ? position : 0, oldest ? 0 : state.priority, due, position};
     };
     for (auto& [row, state] : rows_) {
         if (state.waiting.empty()) {
--- a/src/goldcrestwell/core/routing/upstream_selector.hpp
+++ b/src/goldcrestwell/core/routing/upstream_selector.hpp
@@ -42,10 +42,11 @@
      * @param candidates Live candidates, those of the own data centre first.
      * @param tried Nodes that the call has been tried at.
      * @param limit Calls in flight from here to one node above which another one is preferred; 0 means none.
+     * @param far_penalty How much less loaded, in parts of its slots, a node of another data centre must be.
      */
     [[nodiscard]] std::optional<node_id> select(std::span<const upstream_candidate> candidates,
                                                 const std::vector<node_id>& tried, steady_time now,
-                                                std::uint32_t limit = 0);
+                                                std::uint32_t limit = 0, double far_penalty = 0.0);
 
     void on_started(node_id node);
     void on_finished(node_id node, selection_outcome outcome, steady_time now);
@@ -72,6 +73,7 @@
         const std::vector<node_id>& tried;
         steady_time now;
         std::uint32_t limit;
+        double far_penalty;
         bool use_reports;
     };
 
--- a/test/core/call/work_queue.cpp
+++ b/test/core/call/work_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <vector>
 
@@ -56,6 +57,20 @@
     BOOST_TEST(pop_all(queue, start) == (std::vector<std::uint64_t>{3, 2, 1}), boost::test_tools::per_element());
 }
 
+// Load: one upstream is left of three, and the calls of running requests alone would fill it.
+BOOST_AUTO_TEST_CASE(urgent_routes_do_not_starve_the_others) {
+    work_queue queue;
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        queue.push(usual, number(i), {.priority = 2, .due = start + milliseconds{400}});
+    }
+    for (std::uint64_t i = 5; i <= 20; ++i) {
+        queue.push(urgent, number(i), {.priority = 1, .due = start + milliseconds{300}});
+    }
+    const auto order = pop_all(queue, start);
+    const auto usual_turns = std::count_if(order.begin(), order.begin() + 16, [](const auto id) { return id <= 4; });
+    BOOST_TEST(usual_turns == 2);
+}
+
 // Guards against a new order for routes without objectives.
 BOOST_AUTO_TEST_CASE(without_objectives_the_order_is_that_of_arrival) {
     work_queue queue;
