Compare the versions of a rollout by the difference of their failure rates

Cause: a version had to fail three times as often as the old one. While the service that the old version calls is short of room, its calls fail too, and the bound lies above the rate of a version that fails half of its calls. Change: the difference must be a tenth and four standard errors. Conclusion: the test of the tally fails with the old bound and passes with the new one.

--- a/src/goldcrestwell/core/call/work_queue.hpp
+++ b/src/goldcrestwell/core/call/work_queue.hpp
@@ -28,14 +28,14 @@
  *
  * Attempts that can still be answered when they are due go first, the most urgent ones before all, then the earliest
  * due. Attempts that will be late get the turns that are left, so that in an overload slots are not spent on answers
- * that have lost their value. One turn in `turns_by_arrival` goes to the attempt in time that has waited longest, so that
- * urgent routes do not starve the others. Without objectives the order is that of arrival.
+ * that have lost their value. One turn in `turns_by_arrival` goes to the attempt in time that has waited longest, so
+ * that urgent routes do not starve the others. Without objectives the order is that of arrival.
  */
 class work_queue {
 public:
     using size_type = std::size_t;
     /** @brief Urgent routes may take all turns but one in this number. */
-    static constexpr size_type turns_by_arrival = 8;
+    static constexpr size_type turns_by_arrival = 12;
     /** @brief Time that a call of a row takes. */
     using time_hook = std::function<std::chrono::microseconds(const row_key&)>;
 
--- a/src/goldcrestwell/core/rollout/rollout_tally.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_tally.cpp
@@ -4,15 +4,14 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <functional>
 #include <numeric>
 
 namespace goldcrestwell {
 
 namespace {
 
-// A faulty version fails many times as often as the old one; other faults of the hour hit both alike.
-constexpr double failure_factor = 3.0;
-
 std::uint32_t total(const latency_histogram& histogram) {
     return std::accumulate(histogram.begin(), histogram.end(), std::uint32_t{});
 }
@@ -47,10 +46,15 @@
     (candidate ? candidate_ : old_).add(window);
 }
 
+// Calls of the old version fail too while other services are short of room, so only the difference counts.
 bool rollout_tally::fails(const outcome_sum& candidate, const outcome_sum& old) const {
-    return candidate.failures >= limits_.least_failures &&
-           rate(candidate.failures, candidate.calls) >
-               limits_.failure_excess + failure_factor * rate(old.failures, old.calls);
+    if (candidate.failures < limits_.least_failures) {
+        return false;
+    }
+    const auto difference = rate(candidate.failures, candidate.calls) - rate(old.failures, old.calls);
+    const auto pooled = rate(candidate.failures + old.failures, candidate.calls + old.calls);
+    const auto variance = pooled * (1.0 - pooled) * (1.0 / candidate.calls + 1.0 / std::max(old.calls, 1U));
+    return difference > limits_.failure_excess && difference >= limits_.standard_errors * std::sqrt(variance);
 }
 
 bool rollout_tally::slow(const route_sums& sums) const {
--- a/src/goldcrestwell/core/rollout/rollout_tally.hpp
+++ b/src/goldcrestwell/core/rollout/rollout_tally.hpp
@@ -14,8 +14,10 @@
 struct rollout_tally_limits {
     /** @brief Failures below which nothing is decided; the usual error rate of 0.4 % gives two in 500 calls. */
     std::uint32_t least_failures{4};
-    /** @brief Excess of the failure rate over three times that of the old version; weak faults fail 30 % or more. */
-    double failure_excess{0.08};
+    /** @brief Least difference of the failure rates; weak faults fail 30 % of the calls or more. */
+    double failure_excess{0.1};
+    /** @brief Least difference in standard errors; four rarely come by chance in the hundred looks at one rollout. */
+    double standard_errors{4.0};
     /** @brief Calls of a version on a route below which its latency says nothing. */
     std::uint32_t least_latencies{8};
     /** @brief Times the old version's median; a cold upstream is twice as slow, a faulty version four times or more. */
--- /dev/null
+++ b/test/core/rollout/rollout_tally.cpp
@@ -0,0 +1,47 @@
+#include "goldcrestwell/core/rollout/rollout_tally.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace goldcrestwell;
+
+namespace {
+
+evidence_window window(const std::uint32_t calls, const std::uint32_t failures, const std::size_t bucket = 10) {
+    evidence_window result{.row = {.route = {"r"}, .version = {"v"}}, .calls = calls, .failures = failures};
+    result.latencies[bucket] = calls - failures;
+    return result;
+}
+
+std::optional<take_back_reason> judge(const evidence_window& old, const evidence_window& candidate) {
+    rollout_tally tally;
+    tally.add(old, false);
+    tally.add(candidate, true);
+    return tally.fault();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(tally_of_a_rollout)
+
+// Guards against a good version taken back for its usual errors.
+BOOST_AUTO_TEST_CASE(usual_errors_are_no_fault) {
+    BOOST_TEST(!judge(window(2'000, 8), window(100, 2)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(many_failures_are_a_fault) {
+    BOOST_TEST((judge(window(300, 1), window(12, 6)) == take_back_reason::failures));
+}
+
+// Guards against a faulty version that passes in an overload: a quarter of the old version's calls failed because the
+// service that they call was full, and a bound of three times that rate hid a version that failed half of its calls.
+BOOST_AUTO_TEST_CASE(failures_of_both_versions_do_not_hide_a_fault) {
+    BOOST_TEST((judge(window(400, 100), window(60, 38)) == take_back_reason::failures));
+    BOOST_TEST(!judge(window(400, 100), window(60, 17)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(slow_answers_are_a_fault) {
+    BOOST_TEST((judge(window(100, 0, 10), window(20, 0, 15)) == take_back_reason::latency));
+    BOOST_TEST(!judge(window(100, 0, 10), window(20, 0, 12)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
