Test sidecars against a stand-in of the store and of upstreams

The new tests found that a node that knew a single upstream in its first 1.5 s turned unready again when another upstream left, and refused calls without a log line. Readiness no longer falls back for want of members, and refusals at the door are logged.

--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -34,11 +34,11 @@
 call_id node::on_call(call_request call, reply_hook reply_to, const time_sample now) {
     now_ = now;
     if (refuses_work()) {
-        refuse(reply_to, refusal_reason::draining);
+        refuse(call, reply_to, refusal_reason::draining);
         return call_id{};
     }
     if (!ready()) {
-        refuse(reply_to, refusal_reason::not_ready);
+        refuse(call, reply_to, refusal_reason::not_ready);
         return call_id{};
     }
     const auto id = dispatcher_.start(std::move(call), now);
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -163,7 +163,7 @@
     void on_member(const member& record);
     void on_verdict(const edit_verdict& verdict);
     void reply(call_id call, const call_result& result);
-    void refuse(const reply_hook& hook, refusal_reason reason);
+    void refuse(const call_request& call, const reply_hook& hook, refusal_reason reason);
     [[nodiscard]] bool taking_work(node_id target) const;
     [[nodiscard]] std::optional<route_view> find_route(const call_request& call);
     [[nodiscard]] std::vector<version_share> shares_of(const route_view& route) const;
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -146,10 +146,15 @@
     waiting.mapped().reply(result);
 }
 
-void node::refuse(const reply_hook& hook, const refusal_reason reason) {
+void node::refuse(const call_request& call, const reply_hook& hook, const refusal_reason reason) {
     ++counts_.calls;
     counts_.refusals.add(reason);
-    hook(call_refusal{.reason = reason, .state = run_state::not_run});
+    options_.hooks.event(call_event{.step = call_step::refused,
+                                    .request_id = call.request_id,
+                                    .reason = reason,
+                                    .run = run_state::not_run,
+                                    .started = now_.steady});
+    hook(call_refusal{.reason = reason, .state = run_state::not_run, .retry_after = options_.calls.retry_after});
 }
 
 bool node::taking_work(const node_id target) const {
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -107,7 +107,8 @@
     if (!operators_) {
         return follower_.ready();
     }
-    const auto acquainted = candidates_.size() > 1 || now_.steady >= started_ + options_.lonely_start;
+    const auto acquainted =
+        ready_reported_ || candidates_.size() > 1 || now_.steady >= started_ + options_.lonely_start;
     return operators_->config().has_value() && acquainted;
 }
 
--- /dev/null
+++ b/test/platform/free_port.hpp
@@ -0,0 +1,27 @@
+#ifndef GOLDCRESTWELL_TEST_PLATFORM_FREE_PORT_HPP
+#define GOLDCRESTWELL_TEST_PLATFORM_FREE_PORT_HPP
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace goldcrestwell::test {
+
+/** @return A TCP port of 127.0.0.1 that nobody listens on; the kernel hands out another one each time. */
+inline std::uint16_t free_port() {
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+} // namespace goldcrestwell::test
+
+#endif
