Judge a version on trial at two upstreams

Tries that reached no upstream spent the retry budget when their own number was used up.

Change: the trial moves on to the next upstream every 1.5 s, and a version is faulty if it is at two of them. A departing node refuses new work; a stopping node takes work until two seconds before its end. Redirects never spend the budget. Late answers are logged with their objective.

--- /dev/null
+++ b/scripts/lint.py
@@ -0,0 +1,69 @@
+#!/usr/bin/env python3
+"""Runs clang-tidy over every compiled file of this project; needs build/compile_commands.json.
+
+The result of a clean file is kept by the content that the compiler sees, so an unchanged file is not checked again.
+"""
+import concurrent.futures
+import hashlib
+import json
+import os
+import pathlib
+import shlex
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+CACHE = pathlib.Path(os.environ.get("XDG_CACHE_HOME", pathlib.Path.home() / ".cache")) / "goldcrestwell-lint"
+FOLDERS = tuple(str(ROOT / name) + os.sep for name in ("src", "test", "bench"))
+
+
+def content_key(entry, base):
+    """Returns the hash of the preprocessed file, or nothing if it cannot be preprocessed."""
+    command = [word for word in shlex.split(entry["command"]) if not word.endswith("ccache")]
+    output = command.index("-o")
+    del command[output : output + 2]
+    command[command.index("-c")] = "-E"
+    done = subprocess.run(command, cwd=entry["directory"], capture_output=True, check=False)
+    if done.returncode != 0:
+        return None
+    source = pathlib.Path(entry["file"]).read_bytes()
+    return hashlib.sha256(base + source + done.stdout.replace(str(ROOT).encode(), b"")).hexdigest()
+
+
+def check(entry, base):
+    """Returns the findings of one file; empty if it is clean."""
+    key = content_key(entry, base)
+    stamp = CACHE / key if key else None
+    if stamp and stamp.exists():
+        return ""
+    done = subprocess.run(["clang-tidy", "-quiet", "-p", str(ROOT / "build"), entry["file"]],
+                          capture_output=True, text=True, check=False)
+    if done.returncode == 0:
+        if stamp:
+            stamp.touch()
+        return ""
+    return done.stdout + done.stderr
+
+
+def main():
+    entries = [entry for entry in json.loads((ROOT / "build" / "compile_commands.json").read_text())
+               if entry["file"].startswith(FOLDERS)]
+    version = subprocess.run(["clang-tidy", "--version"], capture_output=True, check=True).stdout
+    # A header changes what is found in the files that include it, also by comments that the preprocessor drops.
+    headers = b"".join(path.read_bytes() for path in sorted(ROOT.glob("src/**/*.hpp")) if b"NOLINT" in path.read_bytes())
+    base = version + (ROOT / ".clang-tidy").read_bytes() + headers
+    CACHE.mkdir(parents=True, exist_ok=True)
+    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+        findings = [text for text in pool.map(lambda entry: check(entry, base), entries) if text]
+    lines = sorted({line for text in findings for line in text.splitlines() if "error:" in line or "warning:" in line})
+    for line in lines[:60]:
+        print(line)
+    if findings:
+        print(f"lint: failed in {len(findings)} of {len(entries)} files", file=sys.stderr)
+        return 1
+    print(f"lint: clean, {len(entries)} files")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,6 +5,7 @@
 scripts/install_packages.sh
 scripts/format.sh --check
 scripts/check_core.sh
+scripts/check_platform.sh
 scripts/build.sh
 ctest --test-dir build --output-on-failure --no-tests=error -j 4
 scripts/lint.sh
--- a/src/goldcrestwell/cli/sidecar_options.cpp
+++ b/src/goldcrestwell/cli/sidecar_options.cpp
@@ -27,8 +27,11 @@
 // News of a leaving upstream reaches all nodes within a few hundred milliseconds; its work ends well before its drain.
 constexpr milliseconds longest_leave_grace{700};
 constexpr int leave_grace_part = 3;
-// Callers turn away from a node that is not ready after two questions a second apart.
-constexpr milliseconds drain_notice{2'600};
+// Callers turn away from a node that is not ready after two questions a second apart, but not while half of the nodes
+// of their data centre stop: so the node takes work for as long as its longest calls leave time before the end by
+// force.
+constexpr milliseconds drain_linger{2'600};
+constexpr milliseconds last_calls{2'000};
 // Kept free before the end by force, for the last answers.
 constexpr milliseconds stop_margin{600};
 constexpr milliseconds lonely_start{1'500};
@@ -43,6 +46,10 @@
 constexpr double retries_per_second = 0.1;
 constexpr double retries_saved = 3.0;
 
+milliseconds drain_notice(const sidecar_settings& settings) {
+    return std::max(milliseconds{settings.stop_grace} - last_calls, milliseconds{settings.stop_grace} / 2);
+}
+
 node_options to_core_options(const sidecar_settings& settings, const wall_time started, const std::uint64_t seed) {
     return {
         .self = settings.self,
@@ -55,10 +62,10 @@
         .calls = {.max_redirects = redirects,
                   .retry_after = default_retry_after,
                   .shortest_retry = shortest_retry_after,
-                      .retries = {.per_call = retries_per_call, .per_second = retries_per_second, .saved = retries_saved}},
+                  .retries = {.per_call = retries_per_call, .per_second = retries_per_second, .saved = retries_saved}},
         .announcement_expiry = settings.announcement_interval * announcements_missed,
-        .drain_linger = drain_notice,
-        .drain_notice = drain_notice,
+        .drain_linger = drain_linger,
+        .drain_notice = drain_notice(settings),
         .leave_grace = std::min(longest_leave_grace, settings.upstream_drain / leave_grace_part),
         .lonely_start = lonely_start};
 }
@@ -74,7 +81,7 @@
             .admin = {.address = admin.address, .port = admin.port},
             .upstream = {.connect_timeout = connect_timeout},
             .drain_limit = milliseconds{settings.stop_grace} - stop_margin,
-            .close_callers_after = drain_notice};
+            .close_callers_after = drain_notice(settings)};
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
@@ -196,11 +196,13 @@
 refusal_reason call_dispatcher::retry(const call_map::iterator found, const retry_reason reason,
                                       const time_sample now) {
     auto& state = found->second;
-    const auto redirect = !state.current.reached_upstream && state.redirects < options_.max_redirects;
+    // Without redirects every further try is a retry.
+    const auto redirect = options_.max_redirects > 0 && !state.current.reached_upstream;
     const auto most_attempts = state.current.terms.max_attempts;
-    const auto used_up =
+    const auto retries_used =
         state.retries >= options_.max_retries || (most_attempts != 0 && state.retries + 1 >= most_attempts);
-    if ((!redirect && used_up) || state.deadline <= now.steady) {
+    const auto used_up = redirect ? state.redirects >= options_.max_redirects : retries_used;
+    if (used_up || state.deadline <= now.steady) {
         return refusal_reason::deadline_passed;
     }
     if (!options_.invariants->check(invariant_id::at_most_once, state.current.idempotent || !state.may_have_run)) {
@@ -265,6 +267,7 @@
                      .tries = state.retries + state.redirects + 1,
                      .reason = reason,
                      .run = run,
+                     .objective = state.current.terms.objective,
                      .started = state.started});
 }
 
--- a/src/goldcrestwell/core/message/call_event.hpp
+++ b/src/goldcrestwell/core/message/call_event.hpp
@@ -7,6 +7,7 @@
 #include "goldcrestwell/core/common/run_state.hpp"
 #include "goldcrestwell/core/common/time.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -27,6 +28,8 @@
     std::uint32_t tries{};
     refusal_reason reason{};
     run_state run{run_state::unknown};
+    /** @brief Time within which an answer has its full value; zero if none is stated. */
+    std::chrono::milliseconds objective{};
     /** @brief When the caller's request came. */
     steady_time started{};
 };
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -189,6 +189,9 @@
 void node::depart(const time_sample now) {
     now_ = now;
     invariants_.check(invariant_id::drain_cuts_nothing, !drain_started_ || in_progress() == 0);
+    // What arrives in the last moments is refused: nobody would be left to answer it.
+    departing_ = true;
+    ledger_.drain(now);
     membership_.depart(now);
     settle();
 }
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -208,6 +208,7 @@
     std::optional<steady_time> drain_started_;
     log_offset advertised_position_;
     bool ready_reported_{};
+    bool departing_{};
     std::optional<steady_time> armed_timer_;
 };
 
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -3,6 +3,7 @@
 #include "goldcrestwell/core/node/node.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace goldcrestwell {
@@ -12,9 +13,9 @@
         .seed = options_.seed,
         .rollouts = {.self = options_.self,
                      .nodes = [this] { return membership_.alive(); },
-                     .has_upstream =
+                     .upstreams =
                          [this](const service_name& service, const upstream_version& version) {
-                             return !membership_.upstreams(service, version).empty();
+                             return membership_.upstreams(service, version).size();
                          },
                      .service_of =
                          [this](const node_id id) {
@@ -117,23 +118,28 @@
 }
 
 bool node::refuses_work() const noexcept {
-    return drain_started_ && now_.steady >= *drain_started_ + options_.drain_notice;
+    return departing_ || (drain_started_ && now_.steady >= *drain_started_ + options_.drain_notice);
 }
 
 std::vector<version_share> node::shares_of(const route_view& route) const {
     return operators_ ? operators_->rollouts().shares(route.service) : rollout_.shares(route.route);
 }
 
-// The small share of a version on trial goes to one upstream, the same for all nodes, because a fault that shows under
-// load only would not show if the share were spread.
+// The small share of a version on trial goes to one upstream at a time, the same for all nodes, because a fault that
+// shows under load only would not show if the share were spread.
 std::span<const upstream_candidate> node::candidates_of(const service_name& service,
                                                         const upstream_version& version) const {
     const auto all = candidates_.find(service, version);
-    if (all.empty() || !operators_ || !operators_->rollouts().on_trial(service, version)) {
+    const auto turn = operators_ ? operators_->rollouts().trial_turn(service, version, now_.steady) : std::nullopt;
+    if (all.empty() || !turn) {
         return all;
     }
-    const auto first = std::ranges::min_element(all, {}, &upstream_candidate::node);
-    return all.subspan(static_cast<std::size_t>(first - all.begin()), 1);
+    std::vector<node_id> order;
+    order.reserve(all.size());
+    std::ranges::transform(all, std::back_inserter(order), &upstream_candidate::node);
+    std::ranges::sort(order);
+    const auto chosen = std::ranges::find(all, order[*turn % order.size()], &upstream_candidate::node);
+    return all.subspan(static_cast<std::size_t>(chosen - all.begin()), 1);
 }
 
 bool node::refuses(const row_key& row) {
--- a/src/goldcrestwell/core/rollout/rollout_tally.cpp
+++ b/src/goldcrestwell/core/rollout/rollout_tally.cpp
@@ -40,10 +40,14 @@
     std::ranges::transform(latencies, window.latencies, latencies.begin(), std::plus{});
 }
 
-void rollout_tally::add(const evidence_window& window, const bool candidate) {
-    auto& route = routes_[window.row.route];
-    (candidate ? route.candidate : route.old).add(window);
-    (candidate ? candidate_ : old_).add(window);
+void rollout_tally::add(const node_id from, const evidence_window& window, const bool candidate) {
+    if (candidate) {
+        candidates_[from][window.row.route].add(window);
+        candidate_calls_ += window.calls;
+    } else {
+        old_routes_[window.row.route].add(window);
+        old_.add(window);
+    }
 }
 
 // Calls of the old version fail too while other services are short of room, so only the difference counts.
@@ -57,25 +61,43 @@
     return difference > limits_.failure_excess && difference >= limits_.standard_errors * std::sqrt(variance);
 }
 
-bool rollout_tally::slow(const route_sums& sums) const {
-    if (total(sums.candidate.latencies) < limits_.least_latencies ||
-        total(sums.old.latencies) < limits_.least_latencies) {
+bool rollout_tally::slow(const outcome_sum& candidate, const outcome_sum& old) const {
+    if (total(candidate.latencies) < limits_.least_latencies || total(old.latencies) < limits_.least_latencies) {
         return false;
     }
-    const std::chrono::duration<double, std::micro> bound = median(sums.old.latencies);
-    return median(sums.candidate.latencies) > bound * limits_.slow_factor;
+    const std::chrono::duration<double, std::micro> bound = median(old.latencies);
+    return median(candidate.latencies) > bound * limits_.slow_factor;
 }
 
-std::optional<take_back_reason> rollout_tally::fault() const {
-    const auto route_fails = std::ranges::any_of(
-        routes_, [this](const auto& item) { return fails(item.second.candidate, item.second.old); });
-    if (route_fails || fails(candidate_, old_)) {
-        return take_back_reason::failures;
+std::optional<take_back_reason> rollout_tally::fault_of(const route_sums& sums) const {
+    outcome_sum all;
+    std::optional<take_back_reason> reason;
+    for (const auto& [route, sum] : sums) {
+        all.calls += sum.calls;
+        all.failures += sum.failures;
+        const auto known = old_routes_.find(route);
+        const auto old = known == old_routes_.end() ? outcome_sum{} : known->second;
+        if (fails(sum, old)) {
+            return take_back_reason::failures;
+        }
+        if (slow(sum, old)) {
+            reason = take_back_reason::latency;
+        }
     }
-    if (std::ranges::any_of(routes_, [this](const auto& item) { return slow(item.second); })) {
-        return take_back_reason::latency;
+    return fails(all, old_) ? take_back_reason::failures : reason;
+}
+
+std::optional<take_back_reason> rollout_tally::fault(const size_type upstreams) const {
+    constexpr size_type confirming_upstreams = 2;
+    size_type faulty = 0;
+    std::optional<take_back_reason> reason;
+    for (const auto& [node, sums] : candidates_) {
+        if (const auto found = fault_of(sums)) {
+            ++faulty;
+            reason = found;
+        }
     }
-    return std::nullopt;
+    return faulty >= std::clamp<size_type>(upstreams, 1, confirming_upstreams) ? reason : std::nullopt;
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/rollout/rollout_tally.hpp
+++ b/src/goldcrestwell/core/rollout/rollout_tally.hpp
@@ -1,9 +1,11 @@
 #ifndef GOLDCRESTWELL_CORE_ROLLOUT_ROLLOUT_TALLY_HPP
 #define GOLDCRESTWELL_CORE_ROLLOUT_ROLLOUT_TALLY_HPP
 
+#include "goldcrestwell/core/common/node_id.hpp"
 #include "goldcrestwell/core/message/evidence_window.hpp"
 #include "goldcrestwell/core/message/take_back_reason.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -24,16 +26,25 @@
     double slow_factor{2.8};
 };
 
-/** @brief Outcomes of the old and the new version of a service, by route, since a rollout was ordered. */
+/**
+ * @brief Outcomes of the old and the new version of a service, by route, since a rollout was ordered.
+ *
+ * The new version is judged at each upstream by itself: one slow or failing host must not speak against the version.
+ */
 class rollout_tally {
 public:
+    using size_type = std::size_t;
+
     explicit rollout_tally(rollout_tally_limits limits = {}) : limits_{limits} {}
 
-    void add(const evidence_window& window, bool candidate);
-    /** @return Why the new version is faulty, or nothing. */
-    [[nodiscard]] std::optional<take_back_reason> fault() const;
-    [[nodiscard]] std::uint32_t candidate_calls() const noexcept { return candidate_.calls; }
-    [[nodiscard]] std::uint32_t candidate_failures() const noexcept { return candidate_.failures; }
+    /** @param from Node beside the upstream. */
+    void add(node_id from, const evidence_window& window, bool candidate);
+    /**
+     * @param upstreams Live upstreams of the new version.
+     * @return Why the new version is faulty at two of them, or at the only one; otherwise nothing.
+     */
+    [[nodiscard]] std::optional<take_back_reason> fault(size_type upstreams) const;
+    [[nodiscard]] std::uint32_t candidate_calls() const noexcept { return candidate_calls_; }
 
 private:
     struct outcome_sum {
@@ -43,18 +54,17 @@
 
         void add(const evidence_window& window);
     };
-    struct route_sums {
-        outcome_sum candidate;
-        outcome_sum old;
-    };
+    using route_sums = std::map<route_name, outcome_sum>;
 
+    [[nodiscard]] std::optional<take_back_reason> fault_of(const route_sums& sums) const;
     [[nodiscard]] bool fails(const outcome_sum& candidate, const outcome_sum& old) const;
-    [[nodiscard]] bool slow(const route_sums& sums) const;
+    [[nodiscard]] bool slow(const outcome_sum& candidate, const outcome_sum& old) const;
 
     rollout_tally_limits limits_;
-    outcome_sum candidate_;
     outcome_sum old_;
-    std::map<route_name, route_sums> routes_;
+    route_sums old_routes_;
+    std::map<node_id, route_sums> candidates_;
+    std::uint32_t candidate_calls_{};
 };
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/rollout/service_rollout_options.hpp
+++ b/src/goldcrestwell/core/rollout/service_rollout_options.hpp
@@ -9,6 +9,7 @@
 #include "goldcrestwell/core/rollout/rollout_tally.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <vector>
 
@@ -29,7 +30,10 @@
 
     /** @brief Live nodes; the first ones in the order of a service decide about its rollout. */
     std::function<std::vector<node_id>()> nodes;
-    std::function<bool(const service_name&, const upstream_version&)> has_upstream;
+    /** @brief Live upstreams of a version. */
+    std::function<std::size_t(const service_name&, const upstream_version&)> upstreams;
+    /** @brief Time for which the share of a version on trial goes to one upstream before it goes to the next. */
+    std::chrono::milliseconds trial_turn{1'500};
     /** @brief Service of the upstream beside a node; empty if there is none. */
     std::function<service_name(node_id)> service_of;
     std::function<void(const move_update&)> broadcast;
--- a/src/goldcrestwell/core/rollout/service_rollouts.cpp
+++ b/src/goldcrestwell/core/rollout/service_rollouts.cpp
@@ -106,7 +106,7 @@
         return;
     }
     for (const auto& window : report.windows) {
-        found->second.tally.add(window, window.row.version == found->second.order.target);
+        found->second.tally.add(report.from, window, window.row.version == found->second.order.target);
     }
     decide(found->second, now);
 }
@@ -157,10 +157,15 @@
     return result;
 }
 
-bool service_rollouts::on_trial(const service_name& service, const upstream_version& version) const {
+std::optional<service_rollouts::size_type> service_rollouts::trial_turn(const service_name& service,
+                                                                        const upstream_version& version,
+                                                                        const steady_time now) const {
     const auto found = moves_.find(service);
-    return found != moves_.end() && found->second.order.target == version && !finished(found->second.state) &&
-           found->second.state.stage <= trial_stage;
+    if (found == moves_.end() || found->second.order.target != version || finished(found->second.state) ||
+        found->second.state.stage > trial_stage) {
+        return std::nullopt;
+    }
+    return static_cast<size_type>((now - found->second.learned.steady) / options_.trial_turn);
 }
 
 bool service_rollouts::withdrawn(const service_name& service, const upstream_version& version) const {
@@ -211,7 +216,8 @@
     }
     if (!finished(move.state)) {
         auto next = move.state;
-        if (const auto reason = move.tally.fault()) {
+        const auto upstreams = options_.upstreams(move.order.service, move.order.target);
+        if (const auto reason = move.tally.fault(upstreams)) {
             next.taken_back = true;
             next.reason = *reason;
             change(move, next, now);
@@ -225,7 +231,7 @@
 }
 
 bool service_rollouts::raise_due(const service_move& move, const size_type own_rank, const time_sample now) const {
-    if (!options_.has_upstream(move.order.service, move.order.target)) {
+    if (options_.upstreams(move.order.service, move.order.target) == 0) {
         return false;
     }
     const auto late = options_.takeover_after * static_cast<milliseconds::rep>(own_rank);
--- a/src/goldcrestwell/core/rollout/service_rollouts.hpp
+++ b/src/goldcrestwell/core/rollout/service_rollouts.hpp
@@ -44,8 +44,12 @@
 
     /** @return Shares of the versions of a service; they sum to `full_share`, or are empty if nothing is known. */
     [[nodiscard]] std::vector<version_share> shares(const service_name& service) const;
-    /** @return True while a version gets its first small share, which goes to one upstream to put load on it. */
-    [[nodiscard]] bool on_trial(const service_name& service, const upstream_version& version) const;
+    /**
+     * @brief While a version gets its first small share, that goes to one upstream after the other to put load on each.
+     * @return Number of the turn, the same on all nodes but for a moment; nothing if the version is not on trial.
+     */
+    [[nodiscard]] std::optional<size_type> trial_turn(const service_name& service, const upstream_version& version,
+                                                      steady_time now) const;
     /** @return True if a version was taken back. */
     [[nodiscard]] bool withdrawn(const service_name& service, const upstream_version& version) const;
     /** @return All states beyond the initial one, for anti-entropy. */
--- a/src/goldcrestwell/shell/call_log.cpp
+++ b/src/goldcrestwell/shell/call_log.cpp
@@ -13,19 +13,22 @@
 constexpr std::array<std::string_view, 4> step_names{"call_sent", "call_answered", "call_refused", "call_cancelled"};
 constexpr std::array<std::string_view, 3> run_names{"not_run", "ran", "unknown"};
 
-// Refusals and repeated tries explain failures and are kept before plain successes.
-log_level level_of(const call_event& event) {
-    const auto plain = event.reason == refusal_reason::none && event.tries <= 1;
+// Refusals, repeated tries and late answers explain complaints and are kept before plain successes.
+log_level level_of(const call_event& event, const std::chrono::microseconds elapsed) {
+    const auto late = event.objective > std::chrono::milliseconds{} && elapsed > event.objective;
+    const auto plain = event.reason == refusal_reason::none && event.tries <= 1 && !late;
     return plain ? log_level::debug : log_level::info;
 }
 
 } // namespace
 
 void write_call_log(const call_event& event, const steady_time now) {
-    if (!log_enabled(level_of(event))) {
+    const auto elapsed = now - event.started;
+    const auto level = level_of(event, elapsed);
+    if (!log_enabled(level)) {
         return;
     }
-    write_log(level_of(event), step_names[static_cast<std::size_t>(event.step)],
+    write_log(level, step_names[static_cast<std::size_t>(event.step)],
               {{"request", event.request_id},
                {"route", event.route.value},
                {"service", event.service.value},
@@ -34,7 +37,8 @@
                {"try", event.tries},
                {"reason", to_string(event.reason)},
                {"run", run_names[static_cast<std::size_t>(event.run)]},
-               {"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - event.started).count()}});
+               {"objective_ms", event.objective.count()},
+               {"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()}});
 }
 
 } // namespace goldcrestwell
