--- /dev/null
+++ b/test/core/config/store_follower.cpp
@@ -0,0 +1,76 @@
+#include "goldcrestwell/core/config/store_follower.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace goldcrestwell;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct fixture {
+    int newest{};
+    std::vector<log_offset> reads;
+    std::vector<bool> reachable;
+    store_follower follower{{.seed = 1,
+                             .read_newest = [this] { ++newest; },
+                             .read_after = [this](const log_offset after, milliseconds) { reads.push_back(after); },
+                             .received = [](const store_page&) {},
+                             .reachable_changed =
+                                 [this](const bool now) {
+                                     reachable.push_back(now);
+                                 }}};
+    steady_time now{std::chrono::seconds{10}};
+
+    void answer(const read_outcome outcome, const std::uint64_t end = 0) {
+        store_page page{.outcome = outcome, .end = log_offset{end}};
+        if (outcome == read_outcome::ok) {
+            page.records.push_back({.offset = log_offset{end}, .key = "a", .payload = "b"});
+        }
+        follower.on_page(page, now);
+    }
+    void wait() {
+        now += milliseconds{2'000};
+        follower.on_timer(now);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(follower_of_the_store)
+
+// Guards against a position that a stale replica takes back.
+BOOST_AUTO_TEST_CASE(reads_go_on_from_the_highest_position) {
+    fixture node;
+    node.follower.start();
+    node.answer(read_outcome::ok, 7);
+    node.answer(read_outcome::ok, 5);
+    BOOST_TEST((node.reads == std::vector{log_offset{7}, log_offset{7}}));
+}
+
+// Guards against a node that waits for records that the store has dropped.
+BOOST_AUTO_TEST_CASE(dropped_history_is_replaced_by_the_newest_records) {
+    fixture node;
+    node.follower.start();
+    node.answer(read_outcome::ok, 7);
+    node.answer(read_outcome::expired);
+    BOOST_TEST(node.newest == 2);
+}
+
+// Guards against a node that floods a store that is down, or gives it up.
+BOOST_AUTO_TEST_CASE(failed_reads_are_repeated_after_a_wait) {
+    fixture node;
+    node.follower.start();
+    node.answer(read_outcome::failed);
+    node.follower.on_timer(node.now);
+    BOOST_TEST(node.newest == 1);
+    node.wait();
+    BOOST_TEST(node.newest == 2);
+    node.answer(read_outcome::ok, 1);
+    BOOST_TEST((node.reachable == std::vector{true}));
+    node.answer(read_outcome::failed);
+    BOOST_TEST((node.reachable == std::vector{true, false}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/core/node/upstream_registry.cpp
@@ -0,0 +1,56 @@
+#include "goldcrestwell/core/node/upstream_registry.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace goldcrestwell;
+
+namespace {
+
+const node_id place{1, 80};
+
+upstream_announcement announcement(const std::uint64_t sequence, const std::int64_t born = 100) {
+    return {.id = "u-1",
+            .service = {"orders"},
+            .version = {"v1"},
+            .address = place,
+            .slots = 4,
+            .sequence = sequence,
+            .started = wall_time{std::chrono::milliseconds{born}}};
+}
+
+struct fixture {
+    upstream_registry registry{{.service = {"orders"}, .address = place}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(registry_of_the_upstream)
+
+// Guards against a heartbeat that was delayed until another start of the upstream has registered.
+BOOST_FIXTURE_TEST_CASE(heartbeats_of_an_earlier_start_are_ignored, fixture) {
+    BOOST_TEST((registry.on_announcement(announcement(9)) == upstream_change::started));
+    BOOST_TEST((registry.on_announcement(announcement(1, 200)) == upstream_change::started));
+    BOOST_TEST((registry.on_announcement(announcement(10)) == upstream_change::none));
+    BOOST_TEST((registry.on_announcement(announcement(2, 200)) == upstream_change::renewed));
+}
+
+// Guards against an upstream that comes back to life by a late heartbeat after it said it leaves.
+BOOST_FIXTURE_TEST_CASE(leaving_is_final_for_a_start, fixture) {
+    static_cast<void>(registry.on_announcement(announcement(1)));
+    BOOST_TEST((registry.on_departure("u-1") == upstream_change::leaving));
+    BOOST_TEST((registry.on_announcement(announcement(5)) == upstream_change::none));
+    BOOST_TEST((registry.on_announcement(announcement(1, 300)) == upstream_change::started));
+    BOOST_TEST((registry.on_departure("u-2") == upstream_change::none));
+}
+
+// Guards against forged heartbeats for another service or address.
+BOOST_FIXTURE_TEST_CASE(other_services_and_addresses_are_ignored, fixture) {
+    auto forged = announcement(1);
+    forged.service = {"bills"};
+    BOOST_TEST((registry.on_announcement(forged) == upstream_change::none));
+    forged = announcement(1);
+    forged.address = node_id{2, 80};
+    BOOST_TEST((registry.on_announcement(forged) == upstream_change::none));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
