--- a/src/goldcrestwell/core/routing/upstream_selector.cpp
+++ b/src/goldcrestwell/core/routing/upstream_selector.cpp
@@ -123,7 +123,8 @@
                                                  const std::uint32_t limit, const double far_penalty) {
     group_ = candidates.size();
     std::uniform_int_distribution<unsigned> draw{0, reports_ignored_in - 1};
-    query wanted{.tried = tried, .now = now, .limit = limit, .far_penalty = far_penalty, .use_reports = draw(random_) != 0};
+    query wanted{
+        .tried = tried, .now = now, .limit = limit, .far_penalty = far_penalty, .use_reports = draw(random_) != 0};
     const auto* chosen = choose(candidates, wanted);
     if (chosen == nullptr && limit != 0) {
         // The limit is a hint here: the node beside the upstream enforces it.
--- a/test/core/config/store_follower.cpp
+++ b/test/core/config/store_follower.cpp
@@ -18,8 +18,8 @@
                              .read_after = [this](const log_offset after, milliseconds) { reads.push_back(after); },
                              .received = [](const store_page&) {},
                              .reachable_changed =
-                                 [this](const bool now) {
-                                     reachable.push_back(now);
+                                 [this](const bool answers) {
+                                     reachable.push_back(answers);
                                  }}};
     steady_time now{std::chrono::seconds{10}};
 
