Wait for the pause before the newest records are read

Cause: the new test expected the read at once, while a read that brought nothing is followed by a pause of 20 ms, which keeps a store that answers at once from being flooded.

--- a/test/core/config/store_follower.cpp
+++ b/test/core/config/store_follower.cpp
@@ -55,6 +55,7 @@
     node.follower.start();
     node.answer(read_outcome::ok, 7);
     node.answer(read_outcome::expired);
+    node.wait();
     BOOST_TEST(node.newest == 2);
 }
 
