--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -42,6 +42,7 @@
         if stamp:
             stamp.touch()
         return ""
+    print(f"lint: findings in {entry['file']}", file=sys.stderr, flush=True)
     return done.stdout + done.stderr
 
 
--- a/src/goldcrestwell/platform/store_client.cpp
+++ b/src/goldcrestwell/platform/store_client.cpp
@@ -41,7 +41,7 @@
 }
 
 // The position of the whole is that of the first page: what is written between two pages is read again from there.
-void store_client::read_newest_page(std::string topic, store_page sofar, std::string after_key, page_hook done) {
+void store_client::read_newest_page(std::string topic, store_page sofar, const std::string& after_key, page_hook done) {
     auto target = target_of(platform_names::newest_path, topic);
     if (!after_key.empty()) {
         target.append("&after=").append(escaped(after_key));
@@ -60,8 +60,8 @@
              sofar.records.insert(sofar.records.end(), std::make_move_iterator(page->records.begin()),
                                   std::make_move_iterator(page->records.end()));
              if (page->more && !sofar.records.empty()) {
-                 auto last = sofar.records.back().key;
-                 read_newest_page(std::move(topic), std::move(sofar), std::move(last), std::move(done));
+                 const auto last = sofar.records.back().key;
+                 read_newest_page(std::move(topic), std::move(sofar), last, std::move(done));
                  return;
              }
              done(sofar);
--- a/src/goldcrestwell/platform/store_client.hpp
+++ b/src/goldcrestwell/platform/store_client.hpp
@@ -47,7 +47,7 @@
         result_hook done;
     };
 
-    void read_newest_page(std::string topic, store_page sofar, std::string after_key, page_hook done);
+    void read_newest_page(std::string topic, store_page sofar, const std::string& after_key, page_hook done);
     void call(http_client_request request, result_hook done);
     void send_next();
     [[nodiscard]] http_connection& usable(std::unique_ptr<http_connection>& connection);
