Write the last answer before the connection is closed

Cause: libevent calls the write callback once for a new connection with an empty buffer. If the first request had been refused by then, the connection was shut down before its answer was written, and the write raised SIGPIPE. Change: the connection ends when its buffer is empty. SIGPIPE is ignored by the loop, for every program that uses it. Upstreams that start or leave have a log line; forward headers are complete.

--- a/src/goldcrestwell/cli/sidecar_command.cpp
+++ b/src/goldcrestwell/cli/sidecar_command.cpp
@@ -31,7 +31,6 @@
         return exit_code::invalid_input;
     }
     configure_log({.level = settings->logging.level, .file = settings->logging.file});
-    std::signal(SIGPIPE, SIG_IGN);
     event_loop loop;
     sidecar process{loop, *settings, to_process_options(*settings, loop.now().wall, random_seed())};
     if (!process.start()) {
--- a/src/goldcrestwell/core/rollout/fwd.hpp
+++ b/src/goldcrestwell/core/rollout/fwd.hpp
@@ -8,12 +8,18 @@
 class evidence_collector;
 class move_evidence;
 class rollout_engine;
+class rollout_tally;
+class service_rollouts;
+class status_recorder;
 struct evidence_totals;
 struct rollout_engine_options;
 struct rollout_input;
 struct route_plan;
 struct row_status;
+struct rollout_tally_limits;
 struct schedule_limits;
+struct service_rollout_options;
+struct status_recorder_options;
 struct stratum;
 enum class row_reason : std::uint8_t;
 enum class row_state : std::uint8_t;
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -17,9 +17,14 @@
     case upstream_change::none:
         return;
     case upstream_change::leaving:
+        write_log(log_level::info, "upstream_leaving", {{"upstream", registry.id()}});
         process.core().on_leaving(now);
         return;
     case upstream_change::started:
+        write_log(log_level::info, "upstream_started",
+                  {{"upstream", registry.id()},
+                   {"upstream_version", registry.info().version.value},
+                   {"slots", registry.info().slots}});
         process.upstream().forget_connections();
         process.upstream().set_upstream(address, registry.info().slots);
         break;
--- a/src/goldcrestwell/shell/caller_connection.cpp
+++ b/src/goldcrestwell/shell/caller_connection.cpp
@@ -225,7 +225,9 @@
 }
 
 void caller_connection::on_written() {
-    if (closing_) {
+    // libevent also calls this once for a new connection, perhaps after an answer was queued and before it is written.
+    const auto unwritten = handle_ ? evbuffer_get_length(bufferevent_get_output(handle_.get())) : 0;
+    if (closing_ && unwritten == 0) {
         finish_writing();
     }
 }
--- a/src/goldcrestwell/shell/event_loop.cpp
+++ b/src/goldcrestwell/shell/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <csignal>
 #include <new>
 
 namespace goldcrestwell {
@@ -33,6 +34,8 @@
     if (!base_) {
         throw std::bad_alloc{};
     }
+    // A peer may close a connection just before something is written to it; the write reports that itself.
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 time_sample event_loop::now() const {
--- a/src/goldcrestwell/shell/fwd.hpp
+++ b/src/goldcrestwell/shell/fwd.hpp
@@ -4,11 +4,14 @@
 namespace goldcrestwell {
 
 class admin_listener;
+class caller_connection;
 class caller_listener;
+class caller_server;
 class event_loop;
 class gossip_socket;
 class http_connection;
 class http_exchange;
+class http_message_parser;
 class http_server;
 class log_client;
 class node_process;
@@ -18,6 +21,7 @@
 class timer;
 class upstream_client;
 struct endpoint;
+struct http_message;
 
 } // namespace goldcrestwell
 
--- a/test/platform/free_port.hpp
+++ b/test/platform/free_port.hpp
@@ -16,9 +16,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    close(descriptor);
+    static_cast<void>(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size));
+    static_cast<void>(getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size));
+    static_cast<void>(close(descriptor));
     return ntohs(address.sin_port);
 }
 
