--- a/src/goldcrestwell/platform/call_codec.cpp
+++ b/src/goldcrestwell/platform/call_codec.cpp
@@ -17,7 +17,7 @@
 
 // A request without a deadline gets the longest that callers of the platform use.
 constexpr milliseconds default_timeout{10'000};
-constexpr std::int64_t longest_timeout_ms = 3'600'000;
+constexpr milliseconds longest_timeout = std::chrono::hours{1};
 
 constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t status_redirect = 300;
@@ -32,7 +32,7 @@
 std::optional<milliseconds> parse_milliseconds(const std::string_view text) {
     std::int64_t number{};
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc{} || end != text.data() + text.size() || number < 0 || number > longest_timeout_ms) {
+    if (error != std::errc{} || end != text.data() + text.size() || number < 0 || number > longest_timeout.count()) {
         return std::nullopt;
     }
     return milliseconds{number};
