--- a/src/goldcrestwell/core/membership/membership_facts.cpp
+++ b/src/goldcrestwell/core/membership/membership_facts.cpp
@@ -77,6 +77,7 @@
     }
     if (is_tombstone(record.status)) {
         peers_.erase(record.id);
+        push_targets_.erase(record.id);
         suspicions_.cancel(record.id);
         return;
     }
@@ -84,6 +85,7 @@
         sync_.catch_up(now_);
     }
     peers_.insert(record.id);
+    push_targets_.insert(record.id);
     if (record.status == member_status::suspect) {
         suspicions_.start({.id = record.id, .generation = record.incarnation}, now_ + suspicion_timeout());
     } else {
--- a/src/goldcrestwell/core/membership/membership_spread.cpp
+++ b/src/goldcrestwell/core/membership/membership_spread.cpp
@@ -90,7 +90,8 @@
     }
     const auto priority =
         queue_.has_urgent() ? queue_.first_priority().value_or(control_priority::position) : control_priority::position;
-    for (const auto target : peers_.choose(push_fan_out, self_)) {
+    // Pushes go round: with targets drawn at random, the pushes of all nodes together left one node of ten out.
+    for (const auto target : push_targets_.next(push_fan_out)) {
         if (!send(target, make(datagram_kind::push, 0, {}), priority, true)) {
             break;
         }
--- a/src/goldcrestwell/core/membership/membership_state.cpp
+++ b/src/goldcrestwell/core/membership/membership_state.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t detector_seed = 0x64657465;
 constexpr std::uint64_t joiner_seed = 0x6A6F696E;
 constexpr std::uint64_t sync_seed = 0x73796E63;
+constexpr std::uint64_t push_seed = 0x70757368;
 
 incarnation next_after(const incarnation value) {
     return incarnation{value.value() + 1};
@@ -34,10 +35,11 @@
 
 membership_state::membership_state(membership_options options)
     : options_{std::move(options)}, self_{options_.self.id}, budget_{options_.bytes_per_second, counts_},
-      peers_{options_.seed}, regions_{options_.self.region}, table_{options_.timing.tombstone_time,
-                                                                    [this](const member* before, const member* after) {
-                                                                        table_changed(before, after);
-                                                                    }},
+      peers_{options_.seed}, push_targets_{options_.seed ^ push_seed}, regions_{options_.self.region},
+      table_{options_.timing.tombstone_time,
+             [this](const member* before, const member* after) {
+                 table_changed(before, after);
+             }},
       detector_{make_detector()}, joiner_{make_joiner()}, sync_{make_sync()}, empty_size_{
                                                                                   options_.wire_size(datagram{})} {
     table_.apply(options_.self, now_);
--- a/src/goldcrestwell/core/membership/membership_state.hpp
+++ b/src/goldcrestwell/core/membership/membership_state.hpp
@@ -106,6 +106,8 @@
     membership_counters counts_;
     byte_budget budget_;
     peer_list peers_;
+    /** @brief The same members, in the rounds of the pushes. */
+    peer_list push_targets_;
     region_watch regions_;
     upstream_index index_;
     suspicion_list suspicions_;
--- a/src/goldcrestwell/core/membership/peer_list.cpp
+++ b/src/goldcrestwell/core/membership/peer_list.cpp
@@ -49,6 +49,18 @@
     return nodes_[cursor_++];
 }
 
+std::vector<node_id> peer_list::next(const size_type count) {
+    std::vector<node_id> chosen;
+    const auto wanted = std::min(count, nodes_.size());
+    // A new round may begin with a member that ended the last one.
+    while (chosen.size() < wanted) {
+        if (const auto id = next(); std::ranges::find(chosen, *id) == chosen.end()) {
+            chosen.push_back(*id);
+        }
+    }
+    return chosen;
+}
+
 std::vector<node_id> peer_list::choose(const size_type count, const node_id excluded) {
     std::vector<node_id> chosen;
     if (nodes_.empty()) {
--- a/src/goldcrestwell/core/membership/peer_list.hpp
+++ b/src/goldcrestwell/core/membership/peer_list.hpp
@@ -30,6 +30,9 @@
     /** @return The next member of the round, or nothing if the list is empty. */
     [[nodiscard]] std::optional<node_id> next();
 
+    /** @return The next members of the round, at most `count` and each once. */
+    [[nodiscard]] std::vector<node_id> next(size_type count);
+
     /** @return Up to `count` distinct members, chosen at random, without `excluded`. */
     [[nodiscard]] std::vector<node_id> choose(size_type count, node_id excluded);
 
--- a/test/core/membership/parts.cpp
+++ b/test/core/membership/parts.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <set>
 
 using namespace goldcrestwell;
 using std::chrono::milliseconds;
@@ -198,4 +199,23 @@
     BOOST_TEST(watch.reachable(name));
 }
 
+// Guards against pushes that pass one member by while they reach others twice.
+BOOST_AUTO_TEST_CASE(rounds_of_pushes_visit_every_member) {
+    constexpr std::uint64_t members = 9;
+    constexpr std::size_t fan_out = 3;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        peer_list peers{seed};
+        for (std::uint64_t id = 1; id <= members; ++id) {
+            peers.insert(node_id{id});
+        }
+        std::set<node_id> reached;
+        for (std::uint64_t sent = 0; sent < members; sent += fan_out) {
+            const auto targets = peers.next(fan_out);
+            BOOST_TEST(targets.size() == fan_out);
+            reached.insert(targets.begin(), targets.end());
+        }
+        BOOST_TEST(reached.size() == members);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
