Put the load of the complete move on versions on trial, and tell newcomers about finished moves

Change: trial_schedule gives bursts of the same mean share to a few upstreams at a time; version_history keeps finished moves and spreads them by exchanges.

--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -168,7 +168,7 @@
     [[nodiscard]] std::optional<route_view> find_route(const call_request& call);
     [[nodiscard]] std::vector<version_share> shares_of(const route_view& route) const;
     [[nodiscard]] std::span<const upstream_candidate> candidates_of(const service_name& service,
-                                                                    const upstream_version& version) const;
+                                                                    const upstream_version& version);
     [[nodiscard]] log_offset position() const noexcept;
     [[nodiscard]] bool refuses(const row_key& row);
     void note_upstream(const member& record);
@@ -188,6 +188,8 @@
     bool settling_{};
 
     candidate_index candidates_;
+    /** @brief The upstreams of a version on trial whose turn it is; valid until the next choice. */
+    std::vector<upstream_candidate> trial_candidates_;
     std::shared_ptr<const table_snapshot> snapshot_;
     route_table routes_;
     membership membership_;
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -122,24 +122,27 @@
 }
 
 std::vector<version_share> node::shares_of(const route_view& route) const {
-    return operators_ ? operators_->rollouts().shares(route.service) : rollout_.shares(route.route);
+    return operators_ ? operators_->rollouts().shares(route.service, now_.steady) : rollout_.shares(route.route);
 }
 
-// The small share of a version on trial goes to one upstream at a time, the same for all nodes, because a fault that
-// shows under load only would not show if the share were spread.
-std::span<const upstream_candidate> node::candidates_of(const service_name& service,
-                                                        const upstream_version& version) const {
+// A version on trial is called at the upstreams whose turn it is, the same for all nodes, so that these few get the
+// load of the complete move.
+std::span<const upstream_candidate> node::candidates_of(const service_name& service, const upstream_version& version) {
     const auto all = candidates_.find(service, version);
-    const auto turn = operators_ ? operators_->rollouts().trial_turn(service, version, now_.steady) : std::nullopt;
-    if (all.empty() || !turn) {
+    const auto turn = operators_ ? operators_->rollouts().trial(service, version, now_.steady) : std::nullopt;
+    if (all.empty() || !turn || turn->count >= all.size()) {
         return all;
     }
     std::vector<node_id> order;
     order.reserve(all.size());
     std::ranges::transform(all, std::back_inserter(order), &upstream_candidate::node);
     std::ranges::sort(order);
-    const auto chosen = std::ranges::find(all, order[*turn % order.size()], &upstream_candidate::node);
-    return all.subspan(static_cast<std::size_t>(chosen - all.begin()), 1);
+    trial_candidates_.clear();
+    std::ranges::copy_if(all, std::back_inserter(trial_candidates_), [&](const upstream_candidate& candidate) {
+        const auto place = static_cast<std::size_t>(std::ranges::lower_bound(order, candidate.node) - order.begin());
+        return (place + order.size() - turn->first % order.size()) % order.size() < turn->count;
+    });
+    return trial_candidates_;
 }
 
 bool node::refuses(const row_key& row) {
@@ -151,7 +154,7 @@
 
 void node::note_upstream(const member& record) {
     if (operators_ && record.status == member_status::alive && record.upstream) {
-        operators_->rollouts().on_upstream(record.upstream->service, record.upstream->version);
+        operators_->rollouts().on_upstream(record.upstream->service, record.upstream->version, now_);
     }
 }
 
--- a/src/goldcrestwell/core/rollout/service_rollout_options.hpp
+++ b/src/goldcrestwell/core/rollout/service_rollout_options.hpp
@@ -7,6 +7,7 @@
 #include "goldcrestwell/core/message/move_update.hpp"
 #include "goldcrestwell/core/message/rollout_status.hpp"
 #include "goldcrestwell/core/rollout/rollout_tally.hpp"
+#include "goldcrestwell/core/rollout/trial_schedule.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -27,13 +28,12 @@
     /** @brief Calls of the new version without which the first stage lasts until its longest time. */
     std::uint32_t least_calls{20};
     rollout_tally_limits limits;
+    trial_schedule_options trial;
 
     /** @brief Live nodes; the first ones in the order of a service decide about its rollout. */
     std::function<std::vector<node_id>()> nodes;
     /** @brief Live upstreams of a version. */
     std::function<std::size_t(const service_name&, const upstream_version&)> upstreams;
-    /** @brief Time for which the share of a version on trial goes to one upstream before it goes to the next. */
-    std::chrono::milliseconds trial_turn{1'500};
     /** @brief Service of the upstream beside a node; empty if there is none. */
     std::function<service_name(node_id)> service_of;
     std::function<void(const move_update&)> broadcast;
--- a/src/goldcrestwell/core/rollout/service_rollouts.cpp
+++ b/src/goldcrestwell/core/rollout/service_rollouts.cpp
@@ -13,7 +13,8 @@
 
 using std::chrono::milliseconds;
 
-/** @brief Share of the new version at a stage and the part of the usable time after which the next one is due. */
+/** @brief Share of the new version at a stage and the part of the usable time after which the next one is due; the
+ *  share on trial follows its own schedule. */
 struct stage_plan {
     share progress;
     double ends{};
@@ -22,7 +23,7 @@
 // The sum over all stages stays below a tenth of the calls between order and deadline plus what a faulty version may
 // get, if a fault is found within a second of showing. The trial is long enough for faults that begin late.
 constexpr std::array<stage_plan, 5> stages{
-    {{share{0}, 0.0}, {share{70'000}, 0.56}, {share{250'000}, 0.68}, {share{500'000}, 0.78}, {full_share, 1.0}}};
+    {{share{0}, 0.0}, {share{0}, 0.56}, {share{250'000}, 0.68}, {share{500'000}, 0.78}, {full_share, 1.0}}};
 constexpr std::uint8_t trial_stage = 1;
 constexpr std::uint8_t full_stage = stages.size() - 1;
 // Of the trial's time; by then a version that could not be judged for lack of calls goes on.
@@ -46,7 +47,8 @@
 } // namespace
 
 service_rollouts::service_rollouts(service_rollout_options options)
-    : options_{std::move(options)}, collector_{no_run_limit, options_.tick} {}
+    : options_{std::move(options)}, history_{options_.upstreams}, trial_{options_.trial}, collector_{no_run_limit,
+                                                                                                     options_.tick} {}
 
 move_key service_rollouts::key_of(const service_move& move) {
     return {.row = {.route = {move.order.service.value}, .version = move.order.target}, .row_version = move.at};
@@ -59,17 +61,17 @@
     }
     service_move move{.order = order, .at = at, .learned = now, .stage_since = now.steady};
     move.tally = rollout_tally{options_.limits};
-    if (stable_.contains(order.service) && stable_.at(order.service) == order.target) {
-        // The upstreams of the new version were seen before the order; the version in use is not known here.
-        stable_.erase(order.service);
-    }
-    withdrawn_.erase({order.service, order.target});
+    history_.on_ordered(order.service, order.target, at);
     auto& placed = moves_.insert_or_assign(order.service, std::move(move)).first->second;
     if (const auto early = early_.extract(key_of(placed)); !early.empty()) {
         merge(placed, early.mapped(), now);
     }
-    std::erase_if(early_, [&order, at](const auto& item) {
-        return item.first.row.route.value == order.service.value && item.first.row_version <= at;
+    std::erase_if(early_, [this, &order, at](const auto& item) {
+        const auto earlier = item.first.row.route.value == order.service.value && item.first.row_version <= at;
+        if (earlier) {
+            history_.on_finished({.key = item.first, .state = item.second});
+        }
+        return earlier;
     });
     arm(now);
 }
@@ -97,6 +99,8 @@
     }
     if (key_of(found->second) == update.key) {
         change(found->second, update.state, now);
+    } else {
+        history_.on_finished(update);
     }
 }
 
@@ -121,11 +125,11 @@
     arm(now);
 }
 
-void service_rollouts::on_upstream(const service_name& service, const upstream_version& version) {
+void service_rollouts::on_upstream(const service_name& service, const upstream_version& version,
+                                   const time_sample now) {
     const auto found = moves_.find(service);
-    const auto ordered = found != moves_.end() && found->second.order.target == version;
-    if (!ordered && !withdrawn_.contains({service, version})) {
-        stable_.try_emplace(service, version);
+    if (found == moves_.end() || found->second.order.target != version) {
+        history_.on_seen(service, version, now.steady);
     }
 }
 
@@ -141,41 +145,50 @@
     arm(now);
 }
 
-std::vector<version_share> service_rollouts::shares(const service_name& service) const {
-    const auto stable = stable_.find(service);
+trial_population service_rollouts::population(const service_move& move) const {
+    const auto& service = move.order.service;
+    const auto current = history_.in_use(service);
+    return {.candidates = options_.upstreams(service, move.order.target),
+            .current = current ? options_.upstreams(service, *current) : 0};
+}
+
+share service_rollouts::progress(const service_move& move, const steady_time now) const {
+    if (move.state.done) {
+        return full_share;
+    }
+    return move.state.stage == trial_stage ? trial_.share_at(now - move.learned.steady, population(move))
+                                           : stages[std::min(move.state.stage, full_stage)].progress;
+}
+
+std::vector<version_share> service_rollouts::shares(const service_name& service, const steady_time now) const {
+    const auto current = history_.in_use(service);
     const auto found = moves_.find(service);
-    if (found == moves_.end() || found->second.state.taken_back) {
-        return stable == stable_.end() ? std::vector<version_share>{}
-                                       : std::vector<version_share>{{stable->second, full_share}};
+    const auto moving = found != moves_.end() && !found->second.state.taken_back;
+    if (!moving || current == found->second.order.target) {
+        return current ? std::vector<version_share>{{*current, full_share}} : std::vector<version_share>{};
     }
-    const auto& move = found->second;
-    const auto progress = move.state.done ? full_share : stages[std::min(move.state.stage, full_stage)].progress;
-    std::vector<version_share> result{{move.order.target, progress}};
-    if (stable != stable_.end() && progress < full_share) {
-        result.push_back({stable->second, share{full_share.value() - progress.value()}});
+    const auto reached = progress(found->second, now);
+    std::vector<version_share> result{{found->second.order.target, reached}};
+    if (current && reached < full_share) {
+        result.push_back({*current, share{full_share.value() - reached.value()}});
     }
     return result;
 }
 
-std::optional<service_rollouts::size_type> service_rollouts::trial_turn(const service_name& service,
-                                                                        const upstream_version& version,
-                                                                        const steady_time now) const {
+std::optional<trial_turn> service_rollouts::trial(const service_name& service, const upstream_version& version,
+                                                  const steady_time now) const {
     const auto found = moves_.find(service);
     if (found == moves_.end() || found->second.order.target != version || finished(found->second.state) ||
         found->second.state.stage > trial_stage) {
         return std::nullopt;
     }
-    return static_cast<size_type>((now - found->second.learned.steady) / options_.trial_turn);
-}
-
-bool service_rollouts::withdrawn(const service_name& service, const upstream_version& version) const {
-    return withdrawn_.contains({service, version});
+    return trial_.turn_at(now - found->second.learned.steady, population(found->second));
 }
 
 std::vector<move_update> service_rollouts::moves() const {
-    std::vector<move_update> result;
+    auto result = history_.finished();
     for (const auto& [service, move] : moves_) {
-        if (move.state != move_state{}) {
+        if (move.state != move_state{} && !finished(move.state)) {
             result.push_back({.key = key_of(move), .state = move.state});
         }
     }
@@ -278,23 +291,11 @@
         move.record_at.reset();
     }
     move.state = merged;
-    settle_versions(move);
+    history_.on_finished({.key = key_of(move), .state = move.state});
     arm(now);
     return true;
 }
 
-void service_rollouts::settle_versions(const service_move& move) {
-    const auto& [service, target, duration] = move.order;
-    if (move.state.taken_back) {
-        withdrawn_.insert({service, target});
-        if (const auto stable = stable_.find(service); stable != stable_.end() && stable->second == target) {
-            stable_.erase(stable);
-        }
-    } else if (move.state.done) {
-        stable_.insert_or_assign(service, target);
-    }
-}
-
 void service_rollouts::arm(const time_sample now) {
     const auto busy = std::ranges::any_of(moves_, [this](const auto& item) {
         const auto& move = item.second;
--- a/src/goldcrestwell/core/rollout/service_rollouts.hpp
+++ b/src/goldcrestwell/core/rollout/service_rollouts.hpp
@@ -8,11 +8,12 @@
 #include "goldcrestwell/core/message/version_share.hpp"
 #include "goldcrestwell/core/rollout/evidence_collector.hpp"
 #include "goldcrestwell/core/rollout/service_rollout_options.hpp"
+#include "goldcrestwell/core/rollout/trial_schedule.hpp"
+#include "goldcrestwell/core/rollout/version_history.hpp"
 
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace goldcrestwell {
@@ -37,21 +38,20 @@
     void on_evidence(const evidence_report& report, time_sample now);
     /** @brief Counts a call to the upstream beside this node. */
     void record(const service_name& service, const call_observation& observation, time_sample now);
-    /** @brief An upstream of the service is alive; the first version seen without an order is the one in use. */
-    void on_upstream(const service_name& service, const upstream_version& version);
+    /** @brief An upstream of the service is alive. */
+    void on_upstream(const service_name& service, const upstream_version& version, time_sample now);
     void on_timer(time_sample now);
     [[nodiscard]] std::optional<steady_time> next_timer() const noexcept { return next_tick_; }
 
     /** @return Shares of the versions of a service; they sum to `full_share`, or are empty if nothing is known. */
-    [[nodiscard]] std::vector<version_share> shares(const service_name& service) const;
-    /**
-     * @brief While a version gets its first small share, that goes to one upstream after the other to put load on each.
-     * @return Number of the turn, the same on all nodes but for a moment; nothing if the version is not on trial.
-     */
-    [[nodiscard]] std::optional<size_type> trial_turn(const service_name& service, const upstream_version& version,
-                                                      steady_time now) const;
+    [[nodiscard]] std::vector<version_share> shares(const service_name& service, steady_time now) const;
+    /** @return The upstreams that take the calls of a version on trial; nothing if it is not on trial. */
+    [[nodiscard]] std::optional<trial_turn> trial(const service_name& service, const upstream_version& version,
+                                                  steady_time now) const;
     /** @return True if a version was taken back. */
-    [[nodiscard]] bool withdrawn(const service_name& service, const upstream_version& version) const;
+    [[nodiscard]] bool withdrawn(const service_name& service, const upstream_version& version) const {
+        return history_.withdrawn(service, version);
+    }
     /** @return All states beyond the initial one, for anti-entropy. */
     [[nodiscard]] std::vector<move_update> moves() const;
 
@@ -76,16 +76,16 @@
     [[nodiscard]] bool raise_due(const service_move& move, size_type rank, time_sample now) const;
     void change(service_move& move, const move_state& state, time_sample now);
     bool merge(service_move& move, const move_state& state, time_sample now);
-    void settle_versions(const service_move& move);
+    [[nodiscard]] trial_population population(const service_move& move) const;
+    [[nodiscard]] share progress(const service_move& move, steady_time now) const;
     void arm(time_sample now);
 
     service_rollout_options options_;
     std::map<service_name, service_move> moves_;
     /** @brief States that arrived before their order was read. */
     std::map<move_key, move_state> early_;
-    /** @brief Version in use by each service before and outside a rollout. */
-    std::map<service_name, upstream_version> stable_;
-    std::set<std::pair<service_name, upstream_version>> withdrawn_;
+    version_history history_;
+    trial_schedule trial_;
     evidence_collector collector_;
     std::optional<steady_time> next_tick_;
 };
