Serve calls of running requests first and start only runs whose calls have room

Change: work_queue puts deeper calls first; such a call waits for half its objective at most; running_requests finds the request that made a call by its id; run_throttle admits only as many runs of a row as can have their calls served; late attempts wait for one objective, not one and a half.

--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -1,7 +1,6 @@
 #include "goldcrestwell/core/call/attempt_ledger.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -10,14 +9,13 @@
 
 namespace {
 
-// Each call moves the average by an eighth: it follows a change within some ten calls and is not moved by one.
-constexpr int service_time_weight = 8;
-// With the mean alone, a tenth of the answers came after a deadline of five service times at twice capacity.
-constexpr int deviations = 2;
 // Attempts that will be late wait for one slot in two at most.
 constexpr std::uint32_t late_part = 2;
 // Halves of the objective after which a waiting attempt is refused, so that its caller can still go elsewhere.
-constexpr int late_patience = 3;
+constexpr int late_patience = 2;
+// Parts of the objective that a call of a running request waits at most. While it waits, that request holds a slot of
+// its own service, so a slow service would fill those that call it.
+constexpr int nested_patience = 2;
 
 row_key row_of(const attempt_request& request) {
     return {.route = request.route, .version = request.version};
@@ -137,7 +135,7 @@
     start_next(now.steady);
 }
 
-refusal_reason attempt_ledger::admission(const attempt_request& request, const steady_time now) const {
+refusal_reason attempt_ledger::admission(const attempt_request& request, const steady_time now) {
     if (draining_) {
         return refusal_reason::draining;
     }
@@ -156,13 +154,16 @@
     if (options_.refuses && options_.refuses(row_of(request))) {
         return refusal_reason::upstream_failing;
     }
-    return queue_verdict(request, now);
+    if (const auto reason = queue_verdict(request, now); reason != refusal_reason::none) {
+        return reason;
+    }
+    return throttle_.admit(row_of(request), now) ? refusal_reason::none : refusal_reason::calls_refused;
 }
 
 refusal_reason attempt_ledger::queue_verdict(const attempt_request& request, const steady_time now) const {
     const auto row = row_of(request);
     const auto row_slots = row_capacity(request.limits);
-    if (running_ < capacity() && queue_.running(row) < row_slots) {
+    if (busy_slots_ < capacity() && queue_.running(row) < row_slots) {
         return refusal_reason::none;
     }
     const auto waiting = queue_.queued(row);
@@ -187,6 +188,9 @@
 refusal_reason attempt_ledger::objective_verdict(const attempt_request& request, const steady_time now) const {
     const auto rank = rank_of(request, now);
     const auto finish = expected_wait(rank, now) + service_time(row_of(request));
+    if (request.call.hops > 1) {
+        return finish <= request.objective / nested_patience ? refusal_reason::none : refusal_reason::deadline_passed;
+    }
     if (finish <= request.objective) {
         return refusal_reason::none;
     }
@@ -200,7 +204,9 @@
     item.deadline = now + request.call.timeout;
     item.wait_until = item.deadline;
     if (request.objective > std::chrono::milliseconds{}) {
-        item.wait_until = std::min(item.deadline, now + request.objective * late_patience / 2);
+        const auto longest =
+            request.call.hops > 1 ? request.objective / nested_patience : request.objective * late_patience / 2;
+        item.wait_until = std::min(item.deadline, now + longest);
     }
     deadlines_.emplace(item.wait_until, request.id);
     queue_.push(row_of(request), request.id, rank_of(request, now));
@@ -211,7 +217,7 @@
     const auto limit = [this](const attempt_id& id) {
         return row_capacity(active_.at(id).request.limits);
     };
-    while (upstream_ && running_ < capacity()) {
+    while (upstream_ && busy_slots_ < capacity()) {
         const auto id = queue_.pop(
             limit, [this](const row_key& row) { return service_time(row); }, now);
         if (!id) {
@@ -219,7 +225,7 @@
         }
         const auto found = active_.find(*id);
         // With nothing running, the call is tried even if it looks too late, so that the estimate can recover.
-        const auto needed = options_.deadline_aware && running_ > 0 ? needed_time() : std::chrono::microseconds{};
+        const auto needed = options_.deadline_aware && busy_slots_ > 0 ? needed_time() : std::chrono::microseconds{};
         if (found->second.deadline <= now + needed) {
             refuse_queued(found, refusal_reason::deadline_passed, now);
             continue;
@@ -237,10 +243,12 @@
     item.running = true;
     item.started = now;
     item.cold = now - upstream_since_ < options_.cold_time;
-    ++running_;
+    ++busy_slots_;
     queue_.on_started(row_of(item.request));
     const auto left = std::chrono::floor<std::chrono::milliseconds>(item.deadline - now);
     item.request.call.timeout = std::max(left, std::chrono::milliseconds{1});
+    item.request_id = item.request.call.request_id;
+    running_.add(item.request_id, {.row = row_of(item.request), .hops = item.request.call.hops});
     options_.start_upstream(id, item.request.call, item.request.call.timeout);
     item.request.call = {};
 }
@@ -306,8 +314,9 @@
     }
     const auto item = std::move(found->second);
     active_.erase(found);
-    --running_;
+    --busy_slots_;
     queue_.on_finished(row_of(item.request));
+    running_.remove(item.request_id);
     learn_service_time(item, result, now.steady);
     observe(item, result, now.steady);
     const auto outcome = to_result(result, item.aborted);
@@ -319,60 +328,6 @@
     start_next(now.steady);
 }
 
-void attempt_ledger::learn_service_time(const entry& item, const upstream_result& result, const steady_time now) {
-    if (result.outcome == upstream_outcome::not_sent || item.aborted) {
-        return;
-    }
-    const auto taken = now - item.started;
-    overall_.add(taken);
-    estimates_[row_of(item.request)].add(taken);
-}
-
-void attempt_ledger::service_estimate::add(const std::chrono::microseconds taken) {
-    if (mean == std::chrono::microseconds{}) {
-        mean = taken;
-        return;
-    }
-    deviation += (std::chrono::abs(taken - mean) - deviation) / service_time_weight;
-    mean += (taken - mean) / service_time_weight;
-}
-
-std::chrono::microseconds attempt_ledger::needed_time() const {
-    return overall_.mean + deviations * overall_.deviation;
-}
-
-std::chrono::microseconds attempt_ledger::service_time(const row_key& row) const {
-    const auto found = estimates_.find(row);
-    return found == estimates_.end() ? overall_.mean : found->second.mean;
-}
-
-queue_rank attempt_ledger::rank_of(const attempt_request& request, const steady_time now) {
-    const auto stated = request.objective > std::chrono::milliseconds{};
-    return {.priority = request.priority, .due = stated ? now + request.objective : steady_time::max()};
-}
-
-std::chrono::microseconds attempt_ledger::expected_wait(const queue_rank& rank, const steady_time now) const {
-    const auto slots = capacity();
-    if (slots == 0 || running_ < slots) {
-        return {};
-    }
-    const auto before = queue_.work_before(
-        rank, [this](const row_key& row) { return service_time(row); }, now);
-    // The next slot becomes free after about one service time divided by the slots.
-    return (before + overall_.mean) / slots;
-}
-
-std::chrono::milliseconds attempt_ledger::retry_after(const attempt_id& id, const steady_time now) const {
-    constexpr std::uint64_t spread_steps = 8;
-    if (options_.shortest_retry == std::chrono::milliseconds{}) {
-        return {};
-    }
-    const auto wait = expected_wait({.priority = std::numeric_limits<std::uint32_t>::max()}, now);
-    const auto base = std::max(std::chrono::ceil<std::chrono::milliseconds>(wait), options_.shortest_retry);
-    return base +
-           base * static_cast<std::int64_t>(id.sequence % spread_steps) / static_cast<std::int64_t>(spread_steps);
-}
-
 void attempt_ledger::observe(const entry& item, const upstream_result& result, const steady_time now) {
     // An aborted call or one that never reached the upstream says nothing about the version.
     if (!options_.observe || item.aborted || result.outcome == upstream_outcome::not_sent ||
--- a/src/goldcrestwell/core/call/attempt_ledger.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.hpp
@@ -4,6 +4,8 @@
 #include "goldcrestwell/core/call/attempt_archive.hpp"
 #include "goldcrestwell/core/call/attempt_hash.hpp"
 #include "goldcrestwell/core/call/attempt_ledger_options.hpp"
+#include "goldcrestwell/core/call/run_throttle.hpp"
+#include "goldcrestwell/core/call/running_requests.hpp"
 #include "goldcrestwell/core/call/work_queue.hpp"
 #include "goldcrestwell/core/common/attempt_id.hpp"
 #include "goldcrestwell/core/common/time.hpp"
@@ -17,6 +19,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
@@ -41,10 +45,16 @@
     [[nodiscard]] std::optional<steady_time> next_timer() const;
     /** @return Attempts queued and running. */
     [[nodiscard]] size_type in_progress() const noexcept { return active_.size(); }
+    /** @return The request in whose run a call with that id was made; nothing if a caller made it. */
+    [[nodiscard]] const running_request* maker_of(std::string_view call_id) const { return running_.maker_of(call_id); }
+    /** @brief A call that a run of the row made has ended. */
+    void on_own_call(const row_key& row, bool refused, time_sample now) { throttle_.on_call(row, refused, now.steady); }
 
 private:
     struct entry {
         attempt_request request;
+        /** @brief Id that the caller gave; kept while the request itself is with the upstream. */
+        std::string request_id;
         steady_time deadline{};
         steady_time started{};
         bool running{};
@@ -61,7 +71,7 @@
     };
     using entry_map = std::unordered_map<attempt_id, entry, attempt_hash>;
 
-    [[nodiscard]] refusal_reason admission(const attempt_request& request, steady_time now) const;
+    [[nodiscard]] refusal_reason admission(const attempt_request& request, steady_time now);
     [[nodiscard]] refusal_reason queue_verdict(const attempt_request& request, steady_time now) const;
     void enqueue(const attempt_request& request, steady_time now);
     void start_next(steady_time now);
@@ -97,7 +107,9 @@
     /** @brief Of all calls, for rows that had none yet. */
     service_estimate overall_;
     std::map<row_key, service_estimate> estimates_;
-    size_type running_{};
+    running_requests running_;
+    run_throttle throttle_;
+    size_type busy_slots_{};
     bool draining_{};
 };
 
--- /dev/null
+++ b/src/goldcrestwell/core/call/attempt_ledger_estimates.cpp
@@ -0,0 +1,75 @@
+// How long calls take and how long new ones would wait.
+
+#include "goldcrestwell/core/call/attempt_ledger.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace goldcrestwell {
+
+namespace {
+
+// Each call moves the average by an eighth: it follows a change within some ten calls and is not moved by one.
+constexpr int service_time_weight = 8;
+// With the mean alone, a tenth of the answers came after a deadline of five service times at twice capacity.
+constexpr int deviations = 2;
+
+} // namespace
+
+void attempt_ledger::learn_service_time(const entry& item, const upstream_result& result, const steady_time now) {
+    if (result.outcome == upstream_outcome::not_sent || item.aborted) {
+        return;
+    }
+    const auto taken = now - item.started;
+    overall_.add(taken);
+    estimates_[row_key{.route = item.request.route, .version = item.request.version}].add(taken);
+}
+
+void attempt_ledger::service_estimate::add(const std::chrono::microseconds taken) {
+    if (mean == std::chrono::microseconds{}) {
+        mean = taken;
+        return;
+    }
+    deviation += (std::chrono::abs(taken - mean) - deviation) / service_time_weight;
+    mean += (taken - mean) / service_time_weight;
+}
+
+std::chrono::microseconds attempt_ledger::needed_time() const {
+    return overall_.mean + deviations * overall_.deviation;
+}
+
+std::chrono::microseconds attempt_ledger::service_time(const row_key& row) const {
+    const auto found = estimates_.find(row);
+    return found == estimates_.end() ? overall_.mean : found->second.mean;
+}
+
+queue_rank attempt_ledger::rank_of(const attempt_request& request, const steady_time now) {
+    const auto stated = request.objective > std::chrono::milliseconds{};
+    return {.depth = request.call.hops,
+            .priority = request.priority,
+            .due = stated ? now + request.objective : steady_time::max()};
+}
+
+std::chrono::microseconds attempt_ledger::expected_wait(const queue_rank& rank, const steady_time now) const {
+    const auto slots = capacity();
+    if (slots == 0 || busy_slots_ < slots) {
+        return {};
+    }
+    const auto before = queue_.work_before(
+        rank, [this](const row_key& row) { return service_time(row); }, now);
+    // The next slot becomes free after about one service time divided by the slots.
+    return (before + overall_.mean) / slots;
+}
+
+std::chrono::milliseconds attempt_ledger::retry_after(const attempt_id& id, const steady_time now) const {
+    constexpr std::uint64_t spread_steps = 8;
+    if (options_.shortest_retry == std::chrono::milliseconds{}) {
+        return {};
+    }
+    const auto wait = expected_wait({.priority = std::numeric_limits<std::uint32_t>::max()}, now);
+    const auto base = std::max(std::chrono::ceil<std::chrono::milliseconds>(wait), options_.shortest_retry);
+    return base +
+           base * static_cast<std::int64_t>(id.sequence % spread_steps) / static_cast<std::int64_t>(spread_steps);
+}
+
+} // namespace goldcrestwell
--- a/src/goldcrestwell/core/call/attempt_ledger_replies.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger_replies.cpp
@@ -46,7 +46,8 @@
 }
 
 void attempt_ledger::send_refusal(const attempt_id& id, const refusal_reason reason, const steady_time now) {
-    const auto full = reason == refusal_reason::deadline_passed || reason == refusal_reason::queue_full;
+    const auto full = reason == refusal_reason::deadline_passed || reason == refusal_reason::queue_full ||
+                      reason == refusal_reason::calls_refused;
     send_result(id, call_refusal{.reason = reason,
                                  .state = run_state::not_run,
                                  .retry_after = full ? retry_after(id, now) : std::chrono::milliseconds{}});
@@ -82,7 +83,7 @@
 }
 
 void attempt_ledger::send_result(const attempt_id& id, const call_result& result) {
-    const auto load = static_cast<std::uint32_t>(running_ + queue_.size());
+    const auto load = static_cast<std::uint32_t>(busy_slots_ + queue_.size());
     options_.send(id.origin, attempt_reply{.id = id, .result = result, .load = load});
 }
 
--- a/src/goldcrestwell/core/call/call_dispatcher.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.cpp
@@ -29,6 +29,7 @@
     switch (refusal.reason) {
     case refusal_reason::queue_full:
     case refusal_reason::deadline_passed:
+    case refusal_reason::calls_refused:
     case refusal_reason::cancelled:
     case refusal_reason::duplicate:
     case refusal_reason::never_seen_before:
--- a/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
@@ -32,7 +32,7 @@
 /** @return True if another node would refuse the call for the same reason. */
 bool final_everywhere(const refusal_reason reason) {
     return reason == refusal_reason::too_many_hops || reason == refusal_reason::bad_request ||
-           reason == refusal_reason::request_too_large;
+           reason == refusal_reason::request_too_large || reason == refusal_reason::calls_refused;
 }
 
 } // namespace
--- a/src/goldcrestwell/core/call/fwd.hpp
+++ b/src/goldcrestwell/core/call/fwd.hpp
@@ -6,8 +6,12 @@
 struct attempt_ledger_options;
 struct call_dispatcher_options;
 struct route_view;
+struct run_throttle_options;
+struct running_request;
 class attempt_ledger;
 class call_dispatcher;
+class run_throttle;
+class running_requests;
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/core/call/work_queue.cpp
+++ b/src/goldcrestwell/core/call/work_queue.cpp
@@ -1,13 +1,14 @@
 #include "goldcrestwell/core/call/work_queue.hpp"
 
 #include <iterator>
+#include <limits>
 #include <tuple>
 
 namespace goldcrestwell {
 
 void work_queue::push(const row_key& row, const attempt_id& id, const queue_rank& rank) {
     auto& state = rows_[row];
-    state.priority = rank.priority;
+    state.rank = rank;
     const place where{rank.due, ++last_position_};
     state.waiting.emplace(where, id);
     state.places.emplace(id, where);
@@ -30,6 +31,10 @@
     }
 }
 
+bool work_queue::precedes(const queue_rank& row, const queue_rank& rank) noexcept {
+    return row.depth != rank.depth ? row.depth > rank.depth : row.priority < rank.priority;
+}
+
 work_queue::row_head work_queue::head_of(const row_state& state, const std::chrono::microseconds needed,
                                          const steady_time now) {
     const auto in_time = state.waiting.lower_bound({now + needed, 0});
@@ -47,7 +52,10 @@
     const auto order = [by_arrival](const row_state& state, const row_head& head) {
         const auto& [due, position] = head.entry->first;
         const auto oldest = by_arrival && head.in_time;
-        return std::tuple{!head.in_time, oldest ? position : 0, oldest ? 0 : state.priority, due, position};
+        const auto shallow = std::numeric_limits<std::uint32_t>::max() - state.rank.depth;
+        return std::tuple{
+            !head.in_time, oldest ? position : 0, oldest ? 0 : shallow, oldest ? 0 : state.rank.priority, due,
+            position};
     };
     for (auto& [row, state] : rows_) {
         if (state.waiting.empty()) {
@@ -85,13 +93,13 @@
                                                   const steady_time now) const {
     std::chrono::microseconds work{};
     for (const auto& [row, state] : rows_) {
-        if (state.waiting.empty() || state.priority > rank.priority) {
+        const auto first_served = precedes(state.rank, rank);
+        if (state.waiting.empty() || (!first_served && precedes(rank, state.rank))) {
             continue;
         }
         const auto each = needed(row);
         const auto first = state.waiting.lower_bound({now + each, 0});
-        const auto last = state.priority < rank.priority ? state.waiting.end()
-                                                         : state.waiting.upper_bound({rank.due, last_position_});
+        const auto last = first_served ? state.waiting.end() : state.waiting.upper_bound({rank.due, last_position_});
         for (auto entry = first; entry != last && entry != state.waiting.end(); ++entry) {
             work += each;
         }
--- a/src/goldcrestwell/core/call/work_queue.hpp
+++ b/src/goldcrestwell/core/call/work_queue.hpp
@@ -17,6 +17,8 @@
 
 /** @brief What decides about the turn of a waiting attempt. */
 struct queue_rank {
+    /** @brief Nodes passed since the first caller: a refused call of a request wastes the run of that request. */
+    std::uint32_t depth{};
     /** @brief 0 is the most urgent. */
     std::uint32_t priority{};
     /** @brief When the answer should be there; the latest time if no objective is stated. */
@@ -26,10 +28,11 @@
 /**
  * @brief Attempts waiting for a slot, and the calls running, by row.
  *
- * Attempts that can still be answered when they are due go first, the most urgent ones before all, then the earliest
- * due. Attempts that will be late get the turns that are left, so that in an overload slots are not spent on answers
- * that have lost their value. One turn in `turns_by_arrival` goes to the attempt in time that has waited longest, so
- * that urgent routes do not starve the others. Without objectives the order is that of arrival.
+ * Attempts that can still be answered when they are due go first: calls of running requests before new requests, then
+ * the most urgent ones, then the earliest due. Attempts that will be late get the turns that are left, so that in an
+ * overload slots are not spent on answers that have lost their value. One turn in `turns_by_arrival` goes to the
+ * attempt in time that has waited longest, so that urgent routes do not starve the others. Without objectives the order
+ * is that of arrival.
  */
 class work_queue {
 public:
@@ -63,7 +66,8 @@
 private:
     using place = std::pair<steady_time, std::uint64_t>;
     struct row_state {
-        std::uint32_t priority{};
+        /** @brief Of the attempt that came last; the calls of a row mostly have the same. */
+        queue_rank rank;
         std::map<place, attempt_id> waiting;
         std::map<attempt_id, place> places;
         std::uint32_t running{};
@@ -74,6 +78,8 @@
         bool in_time{};
     };
 
+    /** @return True if attempts of the row go before new ones of that rank whenever they are due. */
+    [[nodiscard]] static bool precedes(const queue_rank& row, const queue_rank& rank) noexcept;
     [[nodiscard]] static row_head head_of(const row_state& state, std::chrono::microseconds needed, steady_time now);
 
     std::map<row_key, row_state> rows_;
--- a/src/goldcrestwell/core/common/refusal_reason.cpp
+++ b/src/goldcrestwell/core/common/refusal_reason.cpp
@@ -33,7 +33,8 @@
                                                                    "peer_lost",
                                                                    "peer_restarted",
                                                                    "upstream_rejected",
-                                                                   "answer_invalid"};
+                                                                   "answer_invalid",
+                                                                   "calls_refused"};
 
 } // namespace
 
--- a/src/goldcrestwell/core/common/refusal_reason.hpp
+++ b/src/goldcrestwell/core/common/refusal_reason.hpp
@@ -37,10 +37,11 @@
     peer_restarted,
     upstream_rejected,
     answer_invalid,
+    calls_refused,
 };
 
 /** @brief Number of enumerators of `refusal_reason`. */
-inline constexpr std::size_t refusal_reason_count = 28;
+inline constexpr std::size_t refusal_reason_count = 29;
 
 /** @return The name used in logs, metrics and headers. */
 [[nodiscard]] std::string_view to_string(refusal_reason value) noexcept;
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -41,8 +41,13 @@
         refuse(call, reply_to, refusal_reason::not_ready);
         return call_id{};
     }
+    std::optional<row_key> maker;
+    if (const auto* running = ledger_.maker_of(call.request_id)) {
+        maker = running->row;
+        call.hops = std::max(call.hops, running->hops);
+    }
     const auto id = dispatcher_.start(std::move(call), now);
-    callers_.emplace(id, waiting_caller{.reply = std::move(reply_to), .since = now.steady});
+    callers_.emplace(id, waiting_caller{.reply = std::move(reply_to), .since = now.steady, .maker = std::move(maker)});
     settle();
     return id;
 }
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -120,6 +120,8 @@
     struct waiting_caller {
         reply_hook reply;
         steady_time since;
+        /** @brief Row whose run at the own upstream made the call. */
+        std::optional<row_key> maker;
     };
 
     [[nodiscard]] membership_options make_membership_options();
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -8,6 +8,23 @@
 
 namespace goldcrestwell {
 
+namespace {
+
+bool shows_overload(const refusal_reason reason) {
+    switch (reason) {
+    case refusal_reason::calls_refused:
+    case refusal_reason::deadline_passed:
+    case refusal_reason::no_upstream:
+    case refusal_reason::queue_full:
+    case refusal_reason::upstream_rejected:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
 void node::handle(const node_id /*from*/, const hello& /*message*/) {}
 
 void node::handle(const node_id from, const heartbeat& /*message*/) {
@@ -143,6 +160,10 @@
         return;
     }
     call_latency_.add(now_.steady - waiting.mapped().since);
+    if (waiting.mapped().maker) {
+        const auto* refusal = std::get_if<call_refusal>(&result);
+        ledger_.on_own_call(*waiting.mapped().maker, refusal != nullptr && shows_overload(refusal->reason), now_);
+    }
     waiting.mapped().reply(result);
 }
 
--- a/test/core/call/attempt_ledger.cpp
+++ b/test/core/call/attempt_ledger.cpp
@@ -268,4 +268,26 @@
     BOOST_TEST(node.started.size() == 2U);
 }
 
+// Load: the upstreams of a called service are full. Guards against calls that wait for most of their objective while
+// the request that made them holds a slot of its own service.
+BOOST_AUTO_TEST_CASE(call_of_a_running_request_waits_for_half_of_its_objective) {
+    fixture node;
+    const auto send = [&node](const std::uint64_t sequence, const std::uint32_t hops) {
+        auto request = request_of(sequence);
+        request.objective = 100ms;
+        request.call.hops = hops;
+        node.ledger.on_request(caller, request, at(0s));
+    };
+    send(1, 1);
+    send(2, 1);
+    send(3, 1);
+    send(4, 2);
+    const auto before = node.sent.size();
+    node.ledger.on_timer(at(50ms));
+    BOOST_REQUIRE(node.sent.size() == before + 1);
+    BOOST_TEST(std::get<attempt_reply>(node.sent.back()).id.sequence == 4U);
+    node.ledger.on_timer(at(99ms));
+    BOOST_TEST(node.sent.size() == before + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/core/call/running_requests.cpp
@@ -0,0 +1,32 @@
+#include "goldcrestwell/core/call/running_requests.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace goldcrestwell;
+
+BOOST_AUTO_TEST_SUITE(requests_in_progress)
+
+// Guards against calls of a running request that wait behind new requests, and against callers that pass theirs off as
+// such calls.
+BOOST_AUTO_TEST_CASE(call_belongs_to_the_request_whose_id_it_extends) {
+    running_requests running;
+    running.add("a1", {.row = {.route = {"reads"}, .version = {"v1"}}, .hops = 1});
+    const auto* maker = running.maker_of("a1.b2");
+    BOOST_REQUIRE(maker != nullptr);
+    BOOST_TEST(maker->row.route.value == "reads");
+    BOOST_TEST(maker->hops == 1U);
+    BOOST_TEST(running.maker_of("a1") == nullptr);
+    BOOST_TEST(running.maker_of("a2.b2") == nullptr);
+    BOOST_TEST(running.maker_of("") == nullptr);
+    running.remove("a1");
+    BOOST_TEST(running.maker_of("a1.b2") == nullptr);
+}
+
+// Guards against memory that requests without an id take for good.
+BOOST_AUTO_TEST_CASE(requests_without_an_id_are_not_kept) {
+    running_requests running;
+    running.add("", {});
+    BOOST_TEST(running.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
