Leave failures of a request's own calls out of the evidence about versions

The sums of the old version reach back to before that, so the new one looked worse, and it was taken back. Change: a run whose own call was refused or failed is no evidence when it fails.

--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -316,9 +316,9 @@
     active_.erase(found);
     --busy_slots_;
     queue_.on_finished(row_of(item.request));
-    running_.remove(item.request_id);
+    const auto finished = running_.remove(item.request_id);
     learn_service_time(item, result, now.steady);
-    observe(item, result, now.steady);
+    observe(item, result, finished && finished->call_failed, now.steady);
     const auto outcome = to_result(result, item.aborted);
     archive_.add(id, to_archive(outcome), now.steady);
     if (const auto* refusal = std::get_if<call_refusal>(&outcome)) {
@@ -328,13 +328,26 @@
     start_next(now.steady);
 }
 
-void attempt_ledger::observe(const entry& item, const upstream_result& result, const steady_time now) {
+void attempt_ledger::on_own_call(const std::string_view call_id, const row_key& row, const own_call_end end,
+                                 const time_sample now) {
+    throttle_.on_call(row, end == own_call_end::refused, now.steady);
+    if (end != own_call_end::served) {
+        running_.on_call_failed(call_id);
+    }
+}
+
+void attempt_ledger::observe(const entry& item, const upstream_result& result, const bool call_failed,
+                             const steady_time now) {
     // An aborted call or one that never reached the upstream says nothing about the version.
     if (!options_.observe || item.aborted || result.outcome == upstream_outcome::not_sent ||
         result.outcome == upstream_outcome::rejected) {
         return;
     }
     const auto failed = result.outcome != upstream_outcome::answered || result.answer.status >= 500;
+    // The request could not succeed at any version, so both versions are compared by the other requests.
+    if (failed && call_failed) {
+        return;
+    }
     const auto lost = result.outcome != upstream_outcome::answered && result.outcome != upstream_outcome::timed_out;
     options_.observe({.row = row_of(item.request),
                       .failed = failed,
--- a/src/goldcrestwell/core/call/attempt_ledger.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestwell/core/call/attempt_archive.hpp"
 #include "goldcrestwell/core/call/attempt_hash.hpp"
 #include "goldcrestwell/core/call/attempt_ledger_options.hpp"
+#include "goldcrestwell/core/call/own_call_end.hpp"
 #include "goldcrestwell/core/call/run_throttle.hpp"
 #include "goldcrestwell/core/call/running_requests.hpp"
 #include "goldcrestwell/core/call/work_queue.hpp"
@@ -47,8 +48,12 @@
     [[nodiscard]] size_type in_progress() const noexcept { return active_.size(); }
     /** @return The request in whose run a call with that id was made; nothing if a caller made it. */
     [[nodiscard]] const running_request* maker_of(std::string_view call_id) const { return running_.maker_of(call_id); }
-    /** @brief A call that a run of the row made has ended. */
-    void on_own_call(const row_key& row, bool refused, time_sample now) { throttle_.on_call(row, refused, now.steady); }
+    /**
+     * @brief A call that a run at the own upstream made has ended.
+     * @param call_id Id of the call.
+     * @param row Row of the run, which may have ended before the call.
+     */
+    void on_own_call(std::string_view call_id, const row_key& row, own_call_end end, time_sample now);
 
 private:
     struct entry {
@@ -83,7 +88,7 @@
     void learn_service_time(const entry& item, const upstream_result& result, steady_time now);
     void send_result(const attempt_id& id, const call_result& result);
     void send_refusal(const attempt_id& id, refusal_reason reason, steady_time now);
-    void observe(const entry& item, const upstream_result& result, steady_time now);
+    void observe(const entry& item, const upstream_result& result, bool call_failed, steady_time now);
     /** @return Time that a call should have left when it starts. */
     [[nodiscard]] std::chrono::microseconds needed_time() const;
     /** @return Time that a call of a row is expected to take. */
--- a/src/goldcrestwell/core/call/fwd.hpp
+++ b/src/goldcrestwell/core/call/fwd.hpp
@@ -1,6 +1,8 @@
 #ifndef GOLDCRESTWELL_CORE_CALL_FWD_HPP
 #define GOLDCRESTWELL_CORE_CALL_FWD_HPP
 
+#include <cstdint>
+
 namespace goldcrestwell {
 
 struct attempt_ledger_options;
@@ -8,6 +10,7 @@
 struct route_view;
 struct run_throttle_options;
 struct running_request;
+enum class own_call_end : std::uint8_t;
 class attempt_ledger;
 class call_dispatcher;
 class run_throttle;
--- a/src/goldcrestwell/core/call/running_requests.cpp
+++ b/src/goldcrestwell/core/call/running_requests.cpp
@@ -8,16 +8,22 @@
     }
 }
 
-void running_requests::remove(const std::string& id) {
-    requests_.erase(id);
+std::optional<running_request> running_requests::remove(const std::string& id) {
+    const auto removed = requests_.extract(id);
+    return removed.empty() ? std::nullopt : std::optional{removed.mapped()};
 }
 
-const running_request* running_requests::maker_of(const std::string_view call_id) const {
+void running_requests::on_call_failed(const std::string_view call_id) {
     const auto dot = call_id.rfind('.');
-    if (dot == std::string_view::npos) {
-        return nullptr;
+    const auto found = dot == std::string_view::npos ? requests_.end() : requests_.find(call_id.substr(0, dot));
+    if (found != requests_.end()) {
+        found->second.call_failed = true;
     }
-    const auto found = requests_.find(call_id.substr(0, dot));
+}
+
+const running_request* running_requests::maker_of(const std::string_view call_id) const {
+    const auto dot = call_id.rfind('.');
+    const auto found = dot == std::string_view::npos ? requests_.end() : requests_.find(call_id.substr(0, dot));
     return found == requests_.end() ? nullptr : &found->second;
 }
 
--- a/src/goldcrestwell/core/call/running_requests.hpp
+++ b/src/goldcrestwell/core/call/running_requests.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,8 @@
     row_key row;
     /** @brief Nodes passed since the first caller. */
     std::uint32_t hops{};
+    /** @brief A call that it made was refused or failed, so its own failure says nothing about its upstream. */
+    bool call_failed{};
 };
 
 /**
@@ -30,7 +33,10 @@
 
     /** @param id Id that the caller gave the request; requests without one are not kept. */
     void add(const std::string& id, const running_request& request);
-    void remove(const std::string& id);
+    /** @return What was known of the request; nothing if it was not kept. */
+    std::optional<running_request> remove(const std::string& id);
+    /** @brief A call that the request made was refused or failed. */
+    void on_call_failed(std::string_view call_id);
 
     /** @return The request that makes the call; nothing if a caller made it. */
     [[nodiscard]] const running_request* maker_of(std::string_view call_id) const;
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -41,13 +41,14 @@
         refuse(call, reply_to, refusal_reason::not_ready);
         return call_id{};
     }
-    std::optional<row_key> maker;
+    waiting_caller waiting{.reply = std::move(reply_to), .since = now.steady};
     if (const auto* running = ledger_.maker_of(call.request_id)) {
-        maker = running->row;
+        waiting.maker = running->row;
+        waiting.id = call.request_id;
         call.hops = std::max(call.hops, running->hops);
     }
     const auto id = dispatcher_.start(std::move(call), now);
-    callers_.emplace(id, waiting_caller{.reply = std::move(reply_to), .since = now.steady, .maker = std::move(maker)});
+    callers_.emplace(id, std::move(waiting));
     settle();
     return id;
 }
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -122,6 +122,8 @@
         steady_time since;
         /** @brief Row whose run at the own upstream made the call. */
         std::optional<row_key> maker;
+        /** @brief Id of the call, if such a run made it. */
+        std::string id;
     };
 
     [[nodiscard]] membership_options make_membership_options();
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -23,6 +23,14 @@
     }
 }
 
+own_call_end end_of(const call_result& result) {
+    constexpr std::uint32_t lowest_failing_status = 500;
+    if (const auto* answer = std::get_if<http_answer>(&result)) {
+        return answer->status >= lowest_failing_status ? own_call_end::failed : own_call_end::served;
+    }
+    return shows_overload(std::get<call_refusal>(result).reason) ? own_call_end::refused : own_call_end::failed;
+}
+
 } // namespace
 
 void node::handle(const node_id /*from*/, const hello& /*message*/) {}
@@ -161,8 +169,7 @@
     }
     call_latency_.add(now_.steady - waiting.mapped().since);
     if (waiting.mapped().maker) {
-        const auto* refusal = std::get_if<call_refusal>(&result);
-        ledger_.on_own_call(*waiting.mapped().maker, refusal != nullptr && shows_overload(refusal->reason), now_);
+        ledger_.on_own_call(waiting.mapped().id, *waiting.mapped().maker, end_of(result), now_);
     }
     waiting.mapped().reply(result);
 }
--- a/test/core/call/attempt_ledger.cpp
+++ b/test/core/call/attempt_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <string>
 #include <vector>
 
 using namespace goldcrestwell;
@@ -290,4 +291,27 @@
     BOOST_TEST(node.sent.size() == before + 1);
 }
 
+// Guards against a good version that is taken back because a service that it calls loses answers: requests that fail at
+// such a call are no evidence.
+BOOST_AUTO_TEST_CASE(failure_of_an_own_call_does_not_speak_against_the_version) {
+    fixture node;
+    const auto run = [&node](const std::uint64_t sequence, const bool call_fails) {
+        auto request = request_of(sequence);
+        request.call.request_id = "r" + std::to_string(sequence);
+        node.ledger.on_request(caller, request, at(0s));
+        const row_key row{.route = request.route, .version = request.version};
+        if (call_fails) {
+            node.ledger.on_own_call(request.call.request_id + ".1", row, own_call_end::failed, at(0s));
+        }
+        auto failure = answer();
+        failure.answer.status = 500;
+        node.ledger.on_upstream_result(request.id, failure, at(1ms));
+    };
+    run(1, true);
+    BOOST_TEST(node.observed.empty());
+    run(2, false);
+    BOOST_REQUIRE(node.observed.size() == 1U);
+    BOOST_TEST(node.observed.back().failed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/core/call/running_requests.cpp
+++ b/test/core/call/running_requests.cpp
@@ -18,7 +18,9 @@
     BOOST_TEST(running.maker_of("a1") == nullptr);
     BOOST_TEST(running.maker_of("a2.b2") == nullptr);
     BOOST_TEST(running.maker_of("") == nullptr);
-    running.remove("a1");
+    BOOST_TEST(!maker->call_failed);
+    running.on_call_failed("a1.b2");
+    BOOST_TEST(running.remove("a1")->call_failed);
     BOOST_TEST(running.maker_of("a1.b2") == nullptr);
 }
 
