Keep a stopping node while callers come, and look for all listed nodes at once

After a loss of power nodes that the store turned away were looked for one a second; 557 calls were refused with no_upstream meanwhile. Change: a draining node ends when no caller has come for a second; the first three rounds after the directory was read contact every node in it that is not known.

--- a/src/goldcrestwell/cli/sidecar_options.cpp
+++ b/src/goldcrestwell/cli/sidecar_options.cpp
@@ -21,6 +21,7 @@
                                    .join_backoff = milliseconds{100},
                                    .join_backoff_limit = milliseconds{1'000},
                                    .join_fan_out = 3,
+                                   .join_sweep = 64,
                                    .reconnect_interval = milliseconds{1'000}};
 // Four announcements may be late or lost before an upstream counts as gone.
 constexpr int announcements_missed = 4;
@@ -32,6 +33,8 @@
 // force.
 constexpr milliseconds drain_linger{2'600};
 constexpr milliseconds last_calls{2'000};
+// A host has about three callers with two calls a second each, so one second without a call means that they have left.
+constexpr milliseconds drain_quiet{1'000};
 // Kept free before the end by force, for the last answers.
 constexpr milliseconds stop_margin{600};
 constexpr milliseconds lonely_start{1'500};
@@ -65,6 +68,7 @@
                   .retries = {.per_call = retries_per_call, .per_second = retries_per_second, .saved = retries_saved}},
         .announcement_expiry = settings.announcement_interval * announcements_missed,
         .drain_linger = drain_linger,
+        .drain_quiet = drain_quiet,
         .drain_notice = drain_notice(settings),
         .leave_grace = std::min(longest_leave_grace, settings.upstream_drain / leave_grace_part),
         .lonely_start = lonely_start};
--- a/src/goldcrestwell/core/membership/membership_timing.hpp
+++ b/src/goldcrestwell/core/membership/membership_timing.hpp
@@ -27,7 +27,9 @@
     std::chrono::milliseconds join_backoff_limit{30'000};
     /** @brief Seeds contacted at the same time while no member is known. */
     std::size_t join_fan_out{1};
-    /** @brief Time between two pings to members believed dead or to seeds that are not members. */
+    /** @brief New seeds that are no members contacted at once in each of the first rounds; 0 for none. */
+    std::size_t join_sweep{0};
+    /** @brief Time between two rounds of pings to members believed dead or to seeds that are not members. */
     std::chrono::milliseconds reconnect_interval{30'000};
     /** @brief How late its own timer may be before a node takes itself to have been paused. */
     std::chrono::milliseconds pause_threshold{1000};
--- a/src/goldcrestwell/core/membership/seed_joiner.cpp
+++ b/src/goldcrestwell/core/membership/seed_joiner.cpp
@@ -5,6 +5,13 @@
 
 namespace goldcrestwell {
 
+namespace {
+
+// Nodes that start together listen within 0.3 s of each other; three rounds reach those that were late for the first.
+constexpr int sweeps_of_new_seeds = 3;
+
+} // namespace
+
 seed_joiner::seed_joiner(seed_joiner_options options)
     : options_{std::move(options)}, random_{options_.seed}, backoff_{options_.timing.join_backoff} {
     std::shuffle(options_.seeds.begin(), options_.seeds.end(), random_);
@@ -19,6 +26,7 @@
     options_.seeds = std::move(seeds);
     std::shuffle(options_.seeds.begin(), options_.seeds.end(), random_);
     backoff_ = options_.timing.join_backoff;
+    sweeps_left_ = options_.timing.join_sweep == 0 ? 0 : sweeps_of_new_seeds;
     next_ = now;
 }
 
@@ -26,7 +34,9 @@
     if (!next_ || now < *next_) {
         return;
     }
-    if (options_.alone()) {
+    if (sweeps_left_ > 0) {
+        sweep(now);
+    } else if (options_.alone()) {
         ping_seed(now);
     } else {
         ping_lost(now);
@@ -51,9 +61,20 @@
 void seed_joiner::ping_lost(const steady_time now) {
     backoff_ = options_.timing.join_backoff;
     next_ = now + options_.timing.reconnect_interval / 2 + random_part(options_.timing.reconnect_interval);
+    ping_some(options_.timing.join_fan_out);
+}
+
+// A node that can not read the list of nodes is found only by those that can, so they look for all of them at once.
+void seed_joiner::sweep(const steady_time now) {
+    --sweeps_left_;
+    next_ = now + options_.timing.join_backoff;
+    ping_some(options_.timing.join_sweep);
+}
+
+void seed_joiner::ping_some(const std::size_t count) {
     const auto lost = options_.lost();
-    if (!lost.empty()) {
-        options_.ping(lost[std::uniform_int_distribution<std::size_t>{0, lost.size() - 1}(random_)]);
+    for (std::size_t i = 0; i < std::min(count, lost.size()); ++i) {
+        options_.ping(lost[cursor_++ % lost.size()]);
     }
 }
 
--- a/src/goldcrestwell/core/membership/seed_joiner.hpp
+++ b/src/goldcrestwell/core/membership/seed_joiner.hpp
@@ -36,7 +36,7 @@
     explicit seed_joiner(seed_joiner_options options);
 
     void start(steady_time now);
-    /** @brief Replaces the seeds and contacts the first of them at once. */
+    /** @brief Replaces the seeds and contacts them at once, as many as `join_sweep` allows. */
     void set_seeds(std::vector<node_id> seeds, steady_time now);
     void on_timer(steady_time now);
     [[nodiscard]] std::optional<steady_time> next_timer() const noexcept { return next_; }
@@ -45,10 +45,15 @@
     [[nodiscard]] std::chrono::microseconds random_part(std::chrono::milliseconds longest);
     void ping_seed(steady_time now);
     void ping_lost(steady_time now);
+    void sweep(steady_time now);
+    /** @brief Contacts lost members, each call the next ones. */
+    void ping_some(std::size_t count);
 
     seed_joiner_options options_;
     std::mt19937_64 random_;
     std::size_t cursor_{};
+    /** @brief Rounds left in which all new seeds are contacted. */
+    int sweeps_left_{};
     std::chrono::milliseconds backoff_;
     std::optional<steady_time> next_;
 };
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -33,6 +33,7 @@
 
 call_id node::on_call(call_request call, reply_hook reply_to, const time_sample now) {
     now_ = now;
+    last_call_ = now.steady;
     if (refuses_work()) {
         refuse(call, reply_to, refusal_reason::draining);
         return call_id{};
@@ -184,8 +185,13 @@
     settle();
 }
 
+// Callers whose data centre has lost half of its nodes come back to a node that is not ready. A node that has gone
+// fails them, one that stays serves them.
 bool node::drained(const time_sample now) const noexcept {
-    return drain_started_ && now.steady - *drain_started_ >= options_.drain_linger && in_progress() == 0;
+    if (!drain_started_ || now.steady - *drain_started_ < options_.drain_linger || in_progress() != 0) {
+        return false;
+    }
+    return !last_call_ || now.steady - *last_call_ >= options_.drain_quiet;
 }
 
 std::size_t node::in_progress() const noexcept {
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -212,6 +212,7 @@
     std::optional<steady_time> withdraw_at_;
     steady_time started_{};
     std::optional<steady_time> drain_started_;
+    std::optional<steady_time> last_call_;
     log_offset advertised_position_;
     bool ready_reported_{};
     bool departing_{};
--- a/src/goldcrestwell/core/node/node_options.hpp
+++ b/src/goldcrestwell/core/node/node_options.hpp
@@ -66,6 +66,8 @@
     std::chrono::milliseconds announcement_expiry{5'000};
     /** @brief A draining node keeps refusing for this long, so that other nodes learn that it leaves. */
     std::chrono::milliseconds drain_linger{3'000};
+    /** @brief A draining node stays, until it takes no more work, while callers have come within this time. */
+    std::chrono::milliseconds drain_quiet{};
     /** @brief A draining node takes new work for this long, until callers and nodes have turned away from it. */
     std::chrono::milliseconds drain_notice{};
     /** @brief An upstream that leaves still gets the work that other nodes sent before they knew, for this long. */
--- /dev/null
+++ b/test/core/node/drain.cpp
@@ -0,0 +1,77 @@
+#include "goldcrestwell/core/node/node.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace goldcrestwell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+node_options make_options() {
+    node_options options{.self = node_id{1, 7000},
+                         .life = incarnation{1},
+                         .data_centre = {"a"},
+                         .region = {"r"},
+                         .drain_linger = seconds{2},
+                         .drain_quiet = seconds{1},
+                         .drain_notice = seconds{4}};
+    options.hooks.send_frame = [](node_id, const peer_message&) {
+    };
+    options.hooks.send_datagram = [](node_id, const datagram&) {
+    };
+    options.hooks.datagram_size = [](const datagram&) {
+        return std::size_t{100};
+    };
+    options.hooks.frame_size = [](const peer_message&) {
+        return std::size_t{100};
+    };
+    options.hooks.read_log = [](log_offset, milliseconds) {
+    };
+    options.hooks.wake_at = [](steady_time) {
+    };
+    options.hooks.event = [](const node_event&) {
+    };
+    options.hooks.invariant_violated = [](invariant_id) {
+    };
+    return options;
+}
+
+time_sample at(const milliseconds passed) {
+    return {.steady = steady_time{seconds{100} + passed}, .wall = wall_time{seconds{1'000} + passed}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(draining_node)
+
+// Load pattern: half of the nodes of a data centre stop at once, so callers are not sent elsewhere. Guards against a
+// node that ends while its callers still come: 428 of 651 calls found no connection in two seconds of one day.
+BOOST_AUTO_TEST_CASE(stays_while_callers_come) {
+    node draining{make_options()};
+    draining.start(at(milliseconds{}));
+    draining.on_drain(at(milliseconds{}));
+    const auto call = [&draining](const milliseconds passed) {
+        static_cast<void>(draining.on_call(
+            {}, [](const call_result&) {}, at(passed)));
+    };
+    for (milliseconds passed{}; passed <= milliseconds{3'400}; passed += milliseconds{200}) {
+        call(passed);
+        BOOST_TEST(!draining.drained(at(passed)));
+    }
+    BOOST_TEST(!draining.drained(at(milliseconds{4'300})));
+    BOOST_TEST(draining.drained(at(milliseconds{4'400})));
+}
+
+// Guards against a restarted node that keeps its upstream out of use for longer than callers need to leave.
+BOOST_AUTO_TEST_CASE(ends_after_its_linger_when_callers_have_left) {
+    node draining{make_options()};
+    draining.start(at(milliseconds{}));
+    draining.on_drain(at(milliseconds{}));
+    static_cast<void>(draining.on_call(
+        {}, [](const call_result&) {}, at(milliseconds{500})));
+    BOOST_TEST(!draining.drained(at(milliseconds{1'900})));
+    BOOST_TEST(draining.drained(at(milliseconds{2'000})));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
