Let all runs start again sooner after the called service has recovered

Change: the admitted part grows by 0.1 in an interval without refused calls, and as before in one with few.

--- a/src/goldcrestwell/core/call/run_throttle.cpp
+++ b/src/goldcrestwell/core/call/run_throttle.cpp
@@ -15,7 +15,8 @@
         state.admitted *= std::max(options_.decrease, 1.0 - part);
         state.admitted = std::max(state.admitted, options_.least);
     } else {
-        state.admitted = std::min(state.admitted + options_.increase, 1.0);
+        const auto step = state.refused == 0 ? options_.recovery : options_.increase;
+        state.admitted = std::min(state.admitted + step, 1.0);
     }
     state.calls = 0;
     state.refused = 0;
--- a/src/goldcrestwell/core/call/run_throttle.hpp
+++ b/src/goldcrestwell/core/call/run_throttle.hpp
@@ -21,8 +21,10 @@
     double tolerated{0.08};
     /** @brief Factor of the admitted part after an interval with too many refused calls, at most. */
     double decrease{0.8};
-    /** @brief Added to the admitted part after an interval without them. */
+    /** @brief Added to the admitted part after an interval with few refused calls. */
     double increase{0.04};
+    /** @brief Added after an interval without any, so that all runs start again soon after a recovery. */
+    double recovery{0.1};
     /** @brief Least admitted part, so that recovery of the called service is noticed. */
     double least{0.1};
 };
