Report what became of attempts beside the upstream, with queue and upstream time

Cause: the line of a late call did not tell the queue from the upstream, and on a platform with a store the metrics of the configuration showed the unused log. Change: attempt_answered and attempt_failed lines with depth, queue time, upstream time and slots in use; two summaries; config_position and config_version follow the operators' documents.

--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -128,6 +128,7 @@
         return;
     }
     if (const auto reason = admission(request, now.steady); reason != refusal_reason::none) {
+        report(request, reason, {}, {});
         refuse_new(id, reason, now.steady);
         return;
     }
@@ -201,6 +202,7 @@
 
 void attempt_ledger::enqueue(const attempt_request& request, const steady_time now) {
     entry item{.request = request};
+    item.arrived = now;
     item.deadline = now + request.call.timeout;
     item.wait_until = item.deadline;
     if (request.objective > std::chrono::milliseconds{}) {
@@ -247,10 +249,10 @@
     queue_.on_started(row_of(item.request));
     const auto left = std::chrono::floor<std::chrono::milliseconds>(item.deadline - now);
     item.request.call.timeout = std::max(left, std::chrono::milliseconds{1});
-    item.request_id = item.request.call.request_id;
-    running_.add(item.request_id, {.row = row_of(item.request), .hops = item.request.call.hops});
+    running_.add(item.request.call.request_id, {.row = row_of(item.request), .hops = item.request.call.hops});
     options_.start_upstream(id, item.request.call, item.request.call.timeout);
-    item.request.call = {};
+    // The upstream client has the rest.
+    item.request.call = {.request_id = std::move(item.request.call.request_id), .hops = item.request.call.hops};
 }
 
 void attempt_ledger::on_query(const node_id from, const attempt_query& query, const time_sample now) {
@@ -316,14 +318,17 @@
     active_.erase(found);
     --busy_slots_;
     queue_.on_finished(row_of(item.request));
-    const auto finished = running_.remove(item.request_id);
+    const auto finished = running_.remove(item.request.call.request_id);
     learn_service_time(item, result, now.steady);
     observe(item, result, finished && finished->call_failed, now.steady);
     const auto outcome = to_result(result, item.aborted);
     archive_.add(id, to_archive(outcome), now.steady);
-    if (const auto* refusal = std::get_if<call_refusal>(&outcome)) {
+    const auto* refusal = std::get_if<call_refusal>(&outcome);
+    if (refusal != nullptr) {
         options_.counts->attempt_refusals.add(refusal->reason);
     }
+    report(item.request, refusal != nullptr ? refusal->reason : refusal_reason::none, item.started - item.arrived,
+           now.steady - item.started);
     send_result(id, outcome);
     start_next(now.steady);
 }
--- a/src/goldcrestwell/core/call/attempt_ledger.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.hpp
@@ -20,7 +20,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -58,9 +57,8 @@
 private:
     struct entry {
         attempt_request request;
-        /** @brief Id that the caller gave; kept while the request itself is with the upstream. */
-        std::string request_id;
         steady_time deadline{};
+        steady_time arrived{};
         steady_time started{};
         bool running{};
         bool cold{};
@@ -86,6 +84,8 @@
     void repeat(const attempt_id& id, const archived_attempt& ended);
     void refuse_mismatched(steady_time now);
     void learn_service_time(const entry& item, const upstream_result& result, steady_time now);
+    void report(const attempt_request& request, refusal_reason reason, std::chrono::microseconds queued,
+                std::chrono::microseconds at_upstream) const;
     void send_result(const attempt_id& id, const call_result& result);
     void send_refusal(const attempt_id& id, refusal_reason reason, steady_time now);
     void observe(const entry& item, const upstream_result& result, bool call_failed, steady_time now);
--- a/src/goldcrestwell/core/call/attempt_ledger_options.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger_options.hpp
@@ -6,6 +6,7 @@
 #include "goldcrestwell/core/common/incarnation.hpp"
 #include "goldcrestwell/core/common/invariant_monitor.hpp"
 #include "goldcrestwell/core/common/node_id.hpp"
+#include "goldcrestwell/core/message/attempt_event.hpp"
 #include "goldcrestwell/core/message/call_observation.hpp"
 #include "goldcrestwell/core/message/call_request.hpp"
 #include "goldcrestwell/core/message/peer_message.hpp"
@@ -46,6 +47,8 @@
     std::function<void(const call_observation&)> observe;
     /** @brief True if the upstream fails this row's calls in a row and new ones are to be refused. */
     std::function<bool(const row_key&)> refuses;
+    /** @brief Reports what became of each attempt; may be empty. */
+    std::function<void(const attempt_event&)> report;
     counters* counts{};
     invariant_monitor* invariants{};
 };
--- a/src/goldcrestwell/core/call/attempt_ledger_replies.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger_replies.cpp
@@ -64,6 +64,7 @@
     if (!options_.invariants->check(invariant_id::drain_cuts_nothing, !draining_ || allowed)) {
         return;
     }
+    report(item.request, reason, now - item.arrived, {});
     queue_.erase({.route = item.request.route, .version = item.request.version}, id);
     deadlines_.erase({item.wait_until, id});
     active_.erase(found);
@@ -72,6 +73,24 @@
     send_refusal(id, reason, now);
 }
 
+void attempt_ledger::report(const attempt_request& request, const refusal_reason reason,
+                            const std::chrono::microseconds queued, const std::chrono::microseconds at_upstream) const {
+    if (!options_.report) {
+        return;
+    }
+    options_.report({.request_id = request.call.request_id,
+                     .route = request.route,
+                     .version = request.version,
+                     .origin = request.id.origin,
+                     .reason = reason,
+                     .depth = request.call.hops,
+                     .queued = queued,
+                     .at_upstream = at_upstream,
+                     .objective = request.objective,
+                     .busy_slots = busy_slots_,
+                     .waiting = queue_.size()});
+}
+
 void attempt_ledger::repeat(const attempt_id& id, const archived_attempt& ended) {
     if (ended.answer) {
         send_result(id, *ended.answer);
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -108,6 +108,14 @@
     [[nodiscard]] counters& counts() noexcept { return counts_; }
     [[nodiscard]] const invariant_monitor& invariants() const noexcept { return invariants_; }
     [[nodiscard]] const latency_summary& call_latency() const noexcept { return call_latency_; }
+    /** @return Time of attempts in the queue of the own upstream. */
+    [[nodiscard]] const latency_summary& queue_latency() const noexcept { return queue_latency_; }
+    /** @return Time of attempts at the own upstream. */
+    [[nodiscard]] const latency_summary& upstream_latency() const noexcept { return upstream_latency_; }
+    /** @return Offset up to which the configuration was read. */
+    [[nodiscard]] log_offset position() const noexcept;
+    /** @return Version of the configuration in force; zero if there is none. */
+    [[nodiscard]] std::uint64_t config_version() const;
     [[nodiscard]] const membership& members() const noexcept { return membership_; }
     [[nodiscard]] const config_follower& follower() const noexcept { return follower_; }
     [[nodiscard]] const rollout_engine& rollout() const noexcept { return rollout_; }
@@ -167,13 +175,13 @@
     void on_member(const member& record);
     void on_verdict(const edit_verdict& verdict);
     void reply(call_id call, const call_result& result);
+    void note_attempt(const attempt_event& event);
     void refuse(const call_request& call, const reply_hook& hook, refusal_reason reason);
     [[nodiscard]] bool taking_work(node_id target) const;
     [[nodiscard]] std::optional<route_view> find_route(const call_request& call);
     [[nodiscard]] std::vector<version_share> shares_of(const route_view& route) const;
     [[nodiscard]] std::span<const upstream_candidate> candidates_of(const service_name& service,
                                                                     const upstream_version& version);
-    [[nodiscard]] log_offset position() const noexcept;
     [[nodiscard]] bool refuses(const row_key& row);
     void note_upstream(const member& record);
     void receive_move(const move_update& update);
@@ -187,6 +195,8 @@
     time_sample now_{};
     counters counts_;
     latency_summary call_latency_;
+    latency_summary queue_latency_;
+    latency_summary upstream_latency_;
     invariant_monitor invariants_;
     std::deque<task> tasks_;
     bool settling_{};
--- a/src/goldcrestwell/core/node/node_event.hpp
+++ b/src/goldcrestwell/core/node/node_event.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_CORE_NODE_NODE_EVENT_HPP
 
 #include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/message/attempt_event.hpp"
 #include "goldcrestwell/core/message/call_event.hpp"
 #include "goldcrestwell/core/message/edit_verdict.hpp"
 #include "goldcrestwell/core/message/member.hpp"
@@ -52,7 +53,7 @@
 
 /** @brief Something worth a log line. */
 using node_event = std::variant<table_changed, became_ready, edit_verdict, member, move_update, call_event,
-                                config_applied, rollout_ordered, store_changed, record_unreadable>;
+                                attempt_event, config_applied, rollout_ordered, store_changed, record_unreadable>;
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -174,6 +174,14 @@
     waiting.mapped().reply(result);
 }
 
+void node::note_attempt(const attempt_event& event) {
+    queue_latency_.add(event.queued);
+    if (event.at_upstream > std::chrono::microseconds{}) {
+        upstream_latency_.add(event.at_upstream);
+    }
+    options_.hooks.event(event);
+}
+
 void node::refuse(const call_request& call, const reply_hook& hook, const refusal_reason reason) {
     ++counts_.calls;
     counts_.refusals.add(reason);
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -117,6 +117,13 @@
     return operators_ ? operators_->position() : follower_.position();
 }
 
+std::uint64_t node::config_version() const {
+    if (operators_) {
+        return operators_->config() ? operators_->config()->version : 0;
+    }
+    return follower_.reducer().snapshot()->version().value();
+}
+
 bool node::refuses_work() const noexcept {
     return departing_ || (drain_started_ && now_.steady >= *drain_started_ + options_.drain_notice);
 }
--- a/src/goldcrestwell/core/node/node_wiring.cpp
+++ b/src/goldcrestwell/core/node/node_wiring.cpp
@@ -119,6 +119,7 @@
             .observe =
                 [this](const call_observation& observation) { queue([this, observation] { observe(observation); }); },
             .refuses = [this](const row_key& row) { return refuses(row); },
+            .report = [this](const attempt_event& event) { note_attempt(event); },
             .counts = &counts_,
             .invariants = &invariants_};
 }
--- a/src/goldcrestwell/shell/call_log.cpp
+++ b/src/goldcrestwell/shell/call_log.cpp
@@ -41,4 +41,26 @@
                {"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()}});
 }
 
+void write_attempt_log(const attempt_event& event) {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto late = event.objective > milliseconds{} && event.queued + event.at_upstream > event.objective;
+    const auto level = event.reason == refusal_reason::none && !late ? log_level::debug : log_level::info;
+    if (!log_enabled(level)) {
+        return;
+    }
+    write_log(level, event.reason == refusal_reason::none ? "attempt_answered" : "attempt_failed",
+              {{"request", event.request_id},
+               {"route", event.route.value},
+               {"upstream_version", event.version.value},
+               {"origin", to_string(event.origin)},
+               {"reason", to_string(event.reason)},
+               {"depth", event.depth},
+               {"queued_ms", duration_cast<milliseconds>(event.queued).count()},
+               {"upstream_ms", duration_cast<milliseconds>(event.at_upstream).count()},
+               {"objective_ms", event.objective.count()},
+               {"busy", event.busy_slots},
+               {"waiting", event.waiting}});
+}
+
 } // namespace goldcrestwell
--- a/src/goldcrestwell/shell/call_log.hpp
+++ b/src/goldcrestwell/shell/call_log.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_SHELL_CALL_LOG_HPP
 
 #include "goldcrestwell/core/common/time.hpp"
+#include "goldcrestwell/core/message/attempt_event.hpp"
 #include "goldcrestwell/core/message/call_event.hpp"
 
 namespace goldcrestwell {
@@ -9,6 +10,9 @@
 /** @brief Writes the log line of a decision about a call. */
 void write_call_log(const call_event& event, steady_time now);
 
+/** @brief Writes the log line of an attempt that has ended at the upstream beside this node. */
+void write_attempt_log(const attempt_event& event);
+
 } // namespace goldcrestwell
 
 #endif
--- a/src/goldcrestwell/shell/metrics_text.cpp
+++ b/src/goldcrestwell/shell/metrics_text.cpp
@@ -77,15 +77,21 @@
     writer.each("drops_total", "reason", "Inputs discarded.", counts.drops);
 }
 
-void write_latency(metrics_writer& writer, const latency_summary& latency) {
-    writer.declare("call_seconds", "summary", "Time from a caller's request to its result.");
+void write_latency(metrics_writer& writer, const std::string& name, const std::string_view help,
+                   const latency_summary& latency) {
+    writer.declare(name, "summary", help);
     for (std::size_t index = 0; index < latency_summary::quantiles.size(); ++index) {
-        writer.value("call_seconds",
-                     metrics_writer::label_of("quantile", std::to_string(latency_summary::quantiles[index])),
+        writer.value(name, metrics_writer::label_of("quantile", std::to_string(latency_summary::quantiles[index])),
                      in_seconds(latency.quantile(index)));
     }
-    writer.value("call_seconds_sum", "", in_seconds(latency.sum()));
-    writer.value("call_seconds_count", "", std::to_string(latency.count()));
+    writer.value(name + "_sum", "", in_seconds(latency.sum()));
+    writer.value(name + "_count", "", std::to_string(latency.count()));
+}
+
+void write_latencies(metrics_writer& writer, const node& core) {
+    write_latency(writer, "call_seconds", "Time from a caller's request to its result.", core.call_latency());
+    write_latency(writer, "queue_seconds", "Time of attempts in the queue of the own upstream.", core.queue_latency());
+    write_latency(writer, "upstream_seconds", "Time of attempts at the own upstream.", core.upstream_latency());
 }
 
 void write_membership(metrics_writer& writer, const membership& members) {
@@ -119,12 +125,10 @@
 std::string metrics_text(const node& core, const process_usage& usage) {
     metrics_writer writer;
     writer.single("ready", "gauge", "1 if the node serves calls.", core.ready() ? 1 : 0);
-    writer.single("config_position", "gauge", "Offset of the last log record read.",
-                  core.follower().position().value());
-    writer.single("config_version", "gauge", "Offset of the last change of the table.",
-                  core.follower().reducer().snapshot()->version().value());
+    writer.single("config_position", "gauge", "Offset of the last log record read.", core.position().value());
+    writer.single("config_version", "gauge", "Version of the configuration in force.", core.config_version());
     write_calls(writer, core);
-    write_latency(writer, core.call_latency());
+    write_latencies(writer, core);
     write_membership(writer, core.members());
     write_invariants(writer, core.invariants());
     writer.declare("process_seconds_total", "counter", "Processor time used.");
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -223,6 +223,10 @@
     write_call_log(event, loop_.now().steady);
 }
 
+void node_process::report(const attempt_event& event) const {
+    write_attempt_log(event);
+}
+
 void node_process::report(const config_applied& event) const {
     write_log(log_level::info, "config_applied",
               {{"version", event.version}, {"routes", event.routes}, {"position", event.position.value()}});
--- a/src/goldcrestwell/shell/node_process.hpp
+++ b/src/goldcrestwell/shell/node_process.hpp
@@ -61,6 +61,7 @@
     void report(const member& event) const;
     void report(const move_update& event) const;
     void report(const call_event& event) const;
+    void report(const attempt_event& event) const;
     void report(const config_applied& event) const;
     void report(const rollout_ordered& event) const;
     void report(const store_changed& event) const;
--- a/test/core/call/attempt_ledger.cpp
+++ b/test/core/call/attempt_ledger.cpp
@@ -314,4 +314,25 @@
     BOOST_TEST(node.observed.back().failed);
 }
 
+// Guards against late and refused requests whose time in the queue can not be told from that at the upstream.
+BOOST_AUTO_TEST_CASE(reports_tell_queue_and_upstream_apart) {
+    std::vector<attempt_event> reports;
+    fixture node{{.report = [&reports](const attempt_event& event) {
+        reports.push_back(event);
+    }}};
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+        auto request = request_of(sequence);
+        request.call.request_id = "r" + std::to_string(sequence);
+        node.ledger.on_request(caller, request, at(0s));
+    }
+    node.ledger.on_upstream_result(id_of(1), answer(), at(20ms));
+    node.ledger.on_upstream_result(id_of(3), answer(), at(50ms));
+    node.ledger.drain(at(60ms));
+    node.ledger.on_request(caller, request_of(4), at(60ms));
+    BOOST_REQUIRE(reports.size() == 3U);
+    BOOST_TEST((reports[0].queued == 0ms && reports[0].at_upstream == 20ms));
+    BOOST_TEST((reports[1].request_id == "r3" && reports[1].queued == 20ms && reports[1].at_upstream == 30ms));
+    BOOST_TEST((reports[2].reason == refusal_reason::draining && reports[2].at_upstream == 0ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
