Let two nodes of a data centre read each change of the store, the others in pauses

Change: two nodes of each data centre, by rendezvous, read at once; the others pause up to 1.4 s after a read that brought news and fetch changes from a neighbour that tells of them. A node without any neighbour's help is in time with 2 s.

--- a/src/goldcrestwell/codec/sidecar_settings.hpp
+++ b/src/goldcrestwell/codec/sidecar_settings.hpp
@@ -28,6 +28,8 @@
     node_id store;
     std::chrono::milliseconds store_timeout{1'500};
     std::chrono::milliseconds long_poll{20'000};
+    /** @brief Longest pause between two reads of a node whose neighbours read at once; changes apply within 2 s. */
+    std::chrono::milliseconds standby_pause{1'400};
     /** @brief Interval of the upstream's announcements. */
     std::chrono::milliseconds announcement_interval{1'500};
     /** @brief Time for which an upstream that leaves still takes work. */
--- a/src/goldcrestwell/core/config/document_register.cpp
+++ b/src/goldcrestwell/core/config/document_register.cpp
@@ -32,11 +32,14 @@
     if (position <= position_) {
         return;
     }
+    const auto near = options_.near && options_.near(from);
+    const auto due = now + (near ? options_.pull_near_after : options_.pull_after);
     if (!pull_) {
-        pull_ = pending_pull{.from = from, .position = position, .due = now + options_.pull_after};
-    } else if (position > pull_->position) {
+        pull_ = pending_pull{.from = from, .position = position, .due = due};
+    } else if (position > pull_->position || (near && position == pull_->position)) {
         pull_->from = from;
         pull_->position = position;
+        pull_->due = std::min(pull_->due, due);
     }
 }
 
--- a/src/goldcrestwell/core/config/document_register.hpp
+++ b/src/goldcrestwell/core/config/document_register.hpp
@@ -23,6 +23,10 @@
      * A long poll answers all nodes within some tens of milliseconds, and the bound on a change is two seconds.
      */
     std::chrono::milliseconds pull_after{250};
+    /** @brief The same for a peer whose answer costs no traffic between data centres. */
+    std::chrono::milliseconds pull_near_after{60};
+    /** @brief True for peers in the own data centre; if empty, no peer is. */
+    std::function<bool(node_id)> near;
     /** @brief Wait for a peer's answer before the next peer with news is asked. */
     std::chrono::milliseconds pull_again{400};
     std::function<void(node_id to, const document_pull&)> send_pull;
--- a/src/goldcrestwell/core/config/store_follower.cpp
+++ b/src/goldcrestwell/core/config/store_follower.cpp
@@ -25,8 +25,7 @@
     if (page.outcome == read_outcome::failed) {
         set_reachable(false);
         // A random part keeps the nodes from returning together when the store comes back.
-        std::uniform_int_distribution<std::chrono::milliseconds::rep> part{wait_.count() / 2, wait_.count()};
-        retry_ = now + std::chrono::milliseconds{part(random_)};
+        pause(wait_, now);
         wait_ = std::min(wait_ * 2, options_.retry_max);
         return;
     }
@@ -44,9 +43,24 @@
         retry_ = now + options_.empty_pause;
         return;
     }
+    if (options_.prompt && !options_.prompt()) {
+        pause(options_.standby_pause, now);
+        return;
+    }
     read();
 }
 
+void store_follower::pause(const std::chrono::milliseconds longest, const steady_time now) {
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> part{longest.count() / 2, longest.count()};
+    retry_ = now + std::chrono::milliseconds{part(random_)};
+}
+
+void store_follower::advance(const log_offset position) {
+    if (position_) {
+        position_ = std::max(*position_, position);
+    }
+}
+
 void store_follower::on_timer(const steady_time now) {
     if (retry_ && now >= *retry_) {
         read();
--- a/src/goldcrestwell/core/config/store_follower.hpp
+++ b/src/goldcrestwell/core/config/store_follower.hpp
@@ -22,6 +22,10 @@
     std::chrono::milliseconds retry_max{1'000};
     /** @brief Pause after a read that brought nothing. */
     std::chrono::milliseconds empty_pause{20};
+    /** @brief Longest pause of a node that need not read each change at once. */
+    std::chrono::milliseconds standby_pause{};
+    /** @brief True if this node reads each change at once; if empty, it does. */
+    std::function<bool()> prompt;
     /** @brief Reads the newest record of each key. */
     std::function<void()> read_newest;
     /** @brief Reads the records after a position, waiting for new ones. */
@@ -32,13 +36,20 @@
     std::function<void(bool reachable)> reachable_changed;
 };
 
-/** @brief Follows the operators' topic: the newest records first, then a long poll for each change. */
+/**
+ * @brief Follows the operators' topic: the newest records first, then a long poll for each change.
+ *
+ * Each read of each node is a call to the store. A node on standby pauses after a read that brought news, so that a
+ * series of changes costs it a few calls; meanwhile it hears from nodes that read at once.
+ */
 class store_follower {
 public:
     explicit store_follower(store_follower_options options);
 
     void start();
     void on_page(const store_page& page, steady_time now);
+    /** @brief Records up to that position came from another node. */
+    void advance(log_offset position);
     void on_timer(steady_time now);
     [[nodiscard]] std::optional<steady_time> next_timer() const noexcept { return retry_; }
     /** @return True if the last read succeeded. */
@@ -46,6 +57,7 @@
 
 private:
     void read();
+    void pause(std::chrono::milliseconds longest, steady_time now);
     void set_reachable(bool reachable);
 
     store_follower_options options_;
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -183,6 +183,7 @@
     [[nodiscard]] std::span<const upstream_candidate> candidates_of(const service_name& service,
                                                                     const upstream_version& version);
     [[nodiscard]] bool refuses(const row_key& row);
+    [[nodiscard]] bool reads_store_at_once() const;
     void note_upstream(const member& record);
     void receive_move(const move_update& update);
     void receive_position(node_id from, log_offset position);
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -1,9 +1,11 @@
 // How a node works with the configuration of operators' documents in the platform's store.
 
+#include "goldcrestwell/core/common/rendezvous.hpp"
 #include "goldcrestwell/core/node/node.hpp"
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace goldcrestwell {
@@ -37,6 +39,12 @@
             [this](const node_id to, const document_batch& batch) {
                 send_control_frame(to, batch, control_priority::position);
             },
+        .near =
+            [this](const node_id id) {
+                const auto* record = membership_.find(id);
+                return record != nullptr && record->data_centre == options_.data_centre;
+            },
+        .prompt = [this] { return reads_store_at_once(); },
         .config_changed =
             [this](const routing_config& config) {
                 options_.hooks.event(config_applied{
@@ -72,6 +80,18 @@
                 }};
 }
 
+// The others of the data centre hear of a change from these and fetch it from them, which costs no call to the store.
+bool node::reads_store_at_once() const {
+    constexpr std::size_t readers = 2;
+    constexpr std::string_view purpose{"operators' topic"};
+    auto order = membership_.alive_in(options_.data_centre);
+    if (std::ranges::find(order, options_.self) == order.end()) {
+        order.push_back(options_.self);
+    }
+    order = rendezvous_order(stable_hash(purpose), std::move(order));
+    return std::ranges::find(order, options_.self) < order.begin() + std::min(readers, order.size());
+}
+
 void node::on_store_page(const store_page& page, const time_sample now) {
     now_ = now;
     operators_->on_page(page, now);
--- a/src/goldcrestwell/core/node/operator_source.cpp
+++ b/src/goldcrestwell/core/node/operator_source.cpp
@@ -32,7 +32,8 @@
 
 operator_source::operator_source(operator_source_options options, operator_source_links links)
     : options_{std::move(options)}, links_{std::move(links)}, random_{links_.seed},
-      register_{{.send_pull = links_.send_pull,
+      register_{{.near = links_.near,
+                 .send_pull = links_.send_pull,
                  .send_batch = links_.send_batch,
                  .changed =
                      [this](const operator_record& record) {
@@ -40,6 +41,8 @@
                      }}},
       follower_{{.seed = links_.seed,
                  .long_poll = options_.long_poll,
+                 .standby_pause = options_.standby_pause,
+                 .prompt = links_.prompt,
                  .read_newest = options_.hooks.read_newest,
                  .read_after = options_.hooks.read_after,
                  .received = [this](const store_page& page) { register_.on_records(page.records, page.end); },
@@ -74,6 +77,7 @@
 void operator_source::on_batch(const document_batch& batch, const time_sample now) {
     now_ = now;
     register_.on_batch(batch);
+    follower_.advance(register_.position());
 }
 
 void operator_source::on_statuses(const std::optional<std::vector<rollout_status>>& statuses, const log_offset end,
--- a/src/goldcrestwell/core/node/operator_source.hpp
+++ b/src/goldcrestwell/core/node/operator_source.hpp
@@ -30,6 +30,10 @@
     service_rollout_options rollouts;
     std::function<void(node_id to, const document_pull&)> send_pull;
     std::function<void(node_id to, const document_batch&)> send_batch;
+    /** @brief True for nodes of the own data centre. */
+    std::function<bool(node_id)> near;
+    /** @brief True if this node reads each change of the store at once. */
+    std::function<bool()> prompt;
     std::function<void(const routing_config&)> config_changed;
     std::function<void(const rollout_order&)> order_changed;
     std::function<void(bool reachable)> store_changed;
--- a/src/goldcrestwell/core/node/operator_source_options.hpp
+++ b/src/goldcrestwell/core/node/operator_source_options.hpp
@@ -32,6 +32,8 @@
 /** @brief Settings of a node whose configuration comes from operators' documents in the platform's store. */
 struct operator_source_options {
     std::chrono::milliseconds long_poll{20'000};
+    /** @brief Longest pause of a node whose neighbours read each change at once. */
+    std::chrono::milliseconds standby_pause{1'400};
     operator_source_hooks hooks;
 };
 
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -55,7 +55,8 @@
 }
 
 node_process_options sidecar::with_platform(node_process_options options) {
-    options.core.operators = operator_source_options{.long_poll = settings_.long_poll, .hooks = store_hooks()};
+    options.core.operators = operator_source_options{
+        .long_poll = settings_.long_poll, .standby_pause = settings_.standby_pause, .hooks = store_hooks()};
     options.callers.to_call = [this](const http_exchange& exchange) {
         return read_call(exchange, settings_.upstream_service);
     };
--- a/test/core/config/store_follower.cpp
+++ b/test/core/config/store_follower.cpp
@@ -13,7 +13,10 @@
     int newest{};
     std::vector<log_offset> reads;
     std::vector<bool> reachable;
+    bool prompt{true};
     store_follower follower{{.seed = 1,
+                             .standby_pause = milliseconds{1'400},
+                             .prompt = [this] { return prompt; },
                              .read_newest = [this] { ++newest; },
                              .read_after = [this](const log_offset after, milliseconds) { reads.push_back(after); },
                              .received = [](const store_page&) {},
@@ -74,4 +77,41 @@
     BOOST_TEST((node.reachable == std::vector{true, false}));
 }
 
+// Load: a series of changes, five a second, read by eighty nodes. Guards against a call to the store for each change
+// and node, and against a standby node that learns of a change later than two seconds.
+BOOST_AUTO_TEST_CASE(standby_node_reads_a_series_of_changes_with_few_calls) {
+    fixture node;
+    node.prompt = false;
+    node.follower.start();
+    node.answer(read_outcome::ok, 1);
+    constexpr milliseconds step{200};
+    std::uint64_t end = 1;
+    auto last_read = node.now;
+    for (int change = 0; change < 25; ++change) {
+        node.now += step;
+        ++end;
+        const auto before = node.reads.size();
+        node.follower.on_timer(node.now);
+        if (node.reads.size() != before) {
+            BOOST_TEST((node.now - last_read < milliseconds{2'000}));
+            last_read = node.now;
+            node.answer(read_outcome::ok, end);
+        }
+    }
+    BOOST_TEST(node.reads.size() <= 8U);
+    BOOST_TEST(node.reads.size() >= 3U);
+}
+
+// Guards against a standby node that reads again what a peer has sent.
+BOOST_AUTO_TEST_CASE(standby_node_continues_behind_what_a_peer_sent) {
+    fixture node;
+    node.prompt = false;
+    node.follower.start();
+    node.answer(read_outcome::ok, 4);
+    node.follower.advance(log_offset{9});
+    node.wait();
+    BOOST_REQUIRE(!node.reads.empty());
+    BOOST_TEST((node.reads.back() == log_offset{9}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
