--- a/src/goldcrestwell/core/call/call_dispatcher.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.cpp
@@ -130,7 +130,6 @@
     }
     const auto& answer = std::get<http_answer>(reply.result);
     learn_size(state.route.route, answer);
-    learn_pace(state, answer, now);
     if (try_again_after(found, answer, now)) {
         return;
     }
--- a/src/goldcrestwell/core/call/call_dispatcher.hpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.hpp
@@ -52,7 +52,6 @@
     /** @brief The try of a call that is in progress. */
     struct attempt {
         std::uint64_t sequence{};
-        steady_time sent{};
         node_id target;
         incarnation target_life;
         upstream_version version;
@@ -84,7 +83,6 @@
     [[nodiscard]] std::optional<upstream_version> pick_version(const call_state& state, bool first);
     [[nodiscard]] double far_penalty(const route_name& route) const;
     void learn_size(const route_name& route, const http_answer& answer);
-    void learn_pace(const call_state& state, const http_answer& answer, time_sample now);
     [[nodiscard]] std::optional<node_id> pick_node(const call_state& state, const upstream_version& version,
                                                    const row_terms& terms, time_sample now);
     [[nodiscard]] static std::chrono::milliseconds objective_left(const call_state& state, const row_terms& terms,
@@ -119,8 +117,6 @@
     std::map<route_name, share_picker> pickers_;
     /** @brief Average size of a route's answers, in bytes. */
     std::map<route_name, double> answer_bytes_;
-    /** @brief Average time of a route's answers, in microseconds. */
-    std::map<route_name, double> answer_time_;
     std::uint64_t last_call_{};
     std::uint64_t last_sequence_{};
 };
--- a/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
@@ -23,9 +23,6 @@
 constexpr double most_far_penalty = 2.0;
 // Each answer moves the average by an eighth.
 constexpr double answer_bytes_weight = 8.0;
-// Slower than the average of a node, which is compared with it.
-constexpr double answer_time_weight = 32.0;
-constexpr std::uint32_t lowest_failing_status = 500;
 
 bool is_safe_method(const std::string_view method) {
     constexpr std::array<std::string_view, 3> safe{"GET", "HEAD", "OPTIONS"};
@@ -104,20 +101,6 @@
     known->second += (size - known->second) / answer_bytes_weight;
 }
 
-// Routes take different times, so an upstream is compared with the others by the usual time of each route.
-void call_dispatcher::learn_pace(const call_state& state, const http_answer& answer, const time_sample now) {
-    if (answer.status >= lowest_failing_status) {
-        return;
-    }
-    const std::chrono::duration<double, std::micro> taken = now.steady - state.current.sent;
-    const auto [known, created] = answer_time_.try_emplace(state.route.route, taken.count());
-    known->second += (taken.count() - known->second) / answer_time_weight;
-    if (known->second > 0.0) {
-        selector(state.route.service, state.current.version)
-            .on_pace(state.current.target, taken.count() / known->second);
-    }
-}
-
 std::optional<node_id> call_dispatcher::pick_node(const call_state& state, const upstream_version& version,
                                                   const row_terms& terms, const time_sample now) {
     const auto candidates = options_.candidates(state.route.service, version);
@@ -142,7 +125,6 @@
             state.deadline = std::min(state.deadline, now.steady + terms.limits.timeout);
         }
         state.current = {.sequence = ++last_sequence_,
-                         .sent = now.steady,
                          .target = *target,
                          .target_life = options_.life_of(*target),
                          .version = *version,
--- a/src/goldcrestwell/core/routing/upstream_selector.cpp
+++ b/src/goldcrestwell/core/routing/upstream_selector.cpp
@@ -21,11 +21,6 @@
 // A report above this many times the slots says no more than that the node is busy.
 constexpr std::uint32_t reported_slots_limit = 4;
 constexpr std::size_t idle_records = 64;
-// Each answer moves the pace of a node by an eighth; single answers differ by more than upstreams do.
-constexpr double pace_weight = 8.0;
-// Upstreams of one service differ by a factor of two to three; more than this is a fault, which ejection handles.
-constexpr double fastest_pace = 0.5;
-constexpr double slowest_pace = 2.0;
 
 std::uint32_t slots_of(const upstream_candidate& candidate) {
     return candidate.slots == 0 ? default_slots : candidate.slots;
@@ -50,18 +45,16 @@
 double upstream_selector::score(const upstream_candidate& candidate, const query& wanted) const {
     const auto slots = slots_of(candidate);
     double load = 1.0;
-    double pace = 1.0;
     if (const auto found = nodes_.find(candidate.node.value()); found != nodes_.end()) {
         const auto& state = found->second;
         load += state.in_flight;
-        pace = std::clamp(state.pace, fastest_pace, slowest_pace);
         if (wanted.use_reports && wanted.now - state.reported_at < options_.report_lifetime) {
             // What is in flight from here was part of the report.
             const auto others = state.reported - std::min(state.reported, state.counted);
             load += std::min(others, slots * reported_slots_limit);
         }
     }
-    return load * pace / slots;
+    return load / slots;
 }
 
 bool upstream_selector::warm_enough(const upstream_candidate& candidate, const steady_time now) {
@@ -172,12 +165,6 @@
     }
 }
 
-void upstream_selector::on_pace(const node_id node, const double relative) {
-    if (const auto found = nodes_.find(node.value()); found != nodes_.end()) {
-        found->second.pace += (relative - found->second.pace) / pace_weight;
-    }
-}
-
 std::uint32_t upstream_selector::in_flight(const node_id node) const {
     const auto found = nodes_.find(node.value());
     return found == nodes_.end() ? 0 : found->second.in_flight;
--- a/src/goldcrestwell/core/routing/upstream_selector.hpp
+++ b/src/goldcrestwell/core/routing/upstream_selector.hpp
@@ -53,9 +53,6 @@
     /** @param load Calls running and queued, as the node reported; a hint that may be wrong. */
     void on_load(node_id node, std::uint32_t load, steady_time now);
 
-    /** @param relative Time of an answer in parts of the usual time for its route. */
-    void on_pace(node_id node, double relative);
-
     [[nodiscard]] std::uint32_t in_flight(node_id node) const;
     /** @return True if no call is in flight from here. */
     [[nodiscard]] bool idle() const noexcept { return total_in_flight_ == 0; }
@@ -67,8 +64,6 @@
         /** @brief Calls in flight from here when the report came; they are part of it. */
         std::uint32_t counted{};
         steady_time reported_at{};
-        /** @brief Averaged time of its answers in parts of the usual time. */
-        double pace{1.0};
     };
     struct choice {
         const upstream_candidate* candidate{};
