--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <span>
 #include <string_view>
 #include <utility>
 
@@ -89,7 +90,8 @@
         order.push_back(options_.self);
     }
     order = rendezvous_order(stable_hash(purpose), std::move(order));
-    return std::ranges::find(order, options_.self) < order.begin() + std::min(readers, order.size());
+    const auto chosen = std::span{order}.first(std::min(readers, order.size()));
+    return std::ranges::find(chosen, options_.self) != chosen.end();
 }
 
 void node::on_store_page(const store_page& page, const time_sample now) {
