Measure the time that a call needs by its own row

Change: the estimate of the row, or that of all calls if it is smaller, so that a row whose estimate is too large recovers. The test failed before.

--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -180,7 +180,7 @@
     }
     const auto turns =
         std::max(static_cast<double>(queue_.size() + 1) / capacity(), static_cast<double>(waiting + 1) / row_slots);
-    const std::chrono::duration<double, std::micro> expected = overall_.mean * turns + needed_time();
+    const std::chrono::duration<double, std::micro> expected = overall_.mean * turns + needed_time(row);
     return expected > request.call.timeout ? refusal_reason::deadline_passed : refusal_reason::none;
 }
 
@@ -227,7 +227,8 @@
         }
         const auto found = active_.find(*id);
         // With nothing running, the call is tried even if it looks too late, so that the estimate can recover.
-        const auto needed = options_.deadline_aware && busy_slots_ > 0 ? needed_time() : std::chrono::microseconds{};
+        const auto needed = options_.deadline_aware && busy_slots_ > 0 ? needed_time(row_of(found->second.request))
+                                                                       : std::chrono::microseconds{};
         if (found->second.deadline <= now + needed) {
             refuse_queued(found, refusal_reason::deadline_passed, now);
             continue;
--- a/src/goldcrestwell/core/call/attempt_ledger.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.hpp
@@ -89,8 +89,8 @@
     void send_result(const attempt_id& id, const call_result& result);
     void send_refusal(const attempt_id& id, refusal_reason reason, steady_time now);
     void observe(const entry& item, const upstream_result& result, bool call_failed, steady_time now);
-    /** @return Time that a call should have left when it starts. */
-    [[nodiscard]] std::chrono::microseconds needed_time() const;
+    /** @return Time that a call of a row should have left when it starts. */
+    [[nodiscard]] std::chrono::microseconds needed_time(const row_key& row) const;
     /** @return Time that a call of a row is expected to take. */
     [[nodiscard]] std::chrono::microseconds service_time(const row_key& row) const;
     /** @return Time until a new attempt would get a slot. */
--- a/src/goldcrestwell/core/call/attempt_ledger_estimates.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger_estimates.cpp
@@ -34,8 +34,14 @@
     mean += (taken - mean) / service_time_weight;
 }
 
-std::chrono::microseconds attempt_ledger::needed_time() const {
-    return overall_.mean + deviations * overall_.deviation;
+// The smaller of both estimates: short calls need less than the mix of all rows, and a row whose own estimate has
+// become too large is tried again as soon as the others are answered faster.
+std::chrono::microseconds attempt_ledger::needed_time(const row_key& row) const {
+    const auto of = [](const service_estimate& estimate) {
+        return estimate.mean + deviations * estimate.deviation;
+    };
+    const auto found = estimates_.find(row);
+    return found == estimates_.end() ? of(overall_) : std::min(of(overall_), of(found->second));
 }
 
 std::chrono::microseconds attempt_ledger::service_time(const row_key& row) const {
--- a/test/core/call/attempt_ledger.cpp
+++ b/test/core/call/attempt_ledger.cpp
@@ -335,4 +335,29 @@
     BOOST_TEST((reports[2].reason == refusal_reason::draining && reports[2].at_upstream == 0ms));
 }
 
+// Load: long and short routes share an upstream. Guards against short calls that are refused beside free slots because
+// they have less time left than the long ones need.
+BOOST_AUTO_TEST_CASE(short_calls_are_measured_by_their_own_time) {
+    fixture node;
+    const auto send = [&node](const std::uint64_t sequence, const char* route, const std::chrono::milliseconds timeout,
+                              const std::chrono::milliseconds when) {
+        auto request = request_of(sequence, timeout);
+        request.route = {route};
+        node.ledger.on_request(caller, request, at(when));
+    };
+    std::uint64_t sequence = 0;
+    auto now = 0ms;
+    for (int round = 0; round < 10; ++round) {
+        send(++sequence, "/short", 1'000ms, now);
+        node.ledger.on_upstream_result(id_of(sequence), answer(), at(now + 40ms));
+        send(++sequence, "/long", 1'000ms, now + 40ms);
+        node.ledger.on_upstream_result(id_of(sequence), answer(), at(now + 440ms));
+        now += 440ms;
+    }
+    send(++sequence, "/long", 1'000ms, now);
+    const auto before = node.started.size();
+    send(++sequence, "/short", 120ms, now);
+    BOOST_TEST(node.started.size() == before + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
