Let a stopping node take calls only while they can be finished

Cause: a node with callers took work until 4 s after the signal to stop and ended at 5.6 s.

Change: the last calls have 3 s before the end by force instead of 2 s, and the process stays 0.25 s longer when answers are still being written; an earlier end only cuts them.

Figures: stopping_node_leaves_time_for_its_last_calls fails with the values before (6 checks) and passes.

--- a/src/goldcrestwell/cli/sidecar_options.cpp
+++ b/src/goldcrestwell/cli/sidecar_options.cpp
@@ -30,13 +30,13 @@
 constexpr int leave_grace_part = 3;
 // Callers turn away from a node that is not ready after two questions a second apart, but not while half of the nodes
 // of their data centre stop: so the node takes work for as long as its longest calls leave time before the end by
-// force.
+// force. On a slow host with a thin link a download needs a second beside its time-out of 1.5 s.
 constexpr milliseconds drain_linger{2'600};
-constexpr milliseconds last_calls{2'000};
+constexpr milliseconds last_calls{3'000};
 // A host has about three callers with two calls a second each, so one second without a call means that they have left.
 constexpr milliseconds drain_quiet{1'000};
-// Kept free before the end by force, for the last answers.
-constexpr milliseconds stop_margin{600};
+// Kept free before the end by force. An earlier end would only cut answers that are still being written.
+constexpr milliseconds stop_margin{350};
 constexpr milliseconds lonely_start{1'500};
 constexpr std::size_t control_bytes_per_second = 20'000;
 constexpr milliseconds default_retry_after{300};
--- /dev/null
+++ b/test/cli/sidecar_options.cpp
@@ -0,0 +1,25 @@
+#include "goldcrestwell/cli/process_options.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+
+using namespace goldcrestwell;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(sidecar_options)
+
+// Load pattern: rolling restart of slow hosts while callers come. Guards against a node that takes calls for so long
+// that the end by force cuts them: a download taken 3.85 s after the signal was cut at 5.68 s, its answer half written.
+BOOST_AUTO_TEST_CASE(stopping_node_leaves_time_for_its_last_calls) {
+    constexpr seconds longest_call{3};
+    for (const auto grace : {seconds{6}, seconds{10}, seconds{30}}) {
+        const auto options = to_process_options(sidecar_settings{.stop_grace = grace}, wall_time{seconds{1}}, 1);
+        BOOST_TEST(options.core.drain_notice.count() <= milliseconds{grace - longest_call}.count());
+        BOOST_TEST(options.close_callers_after.count() <= milliseconds{grace - longest_call}.count());
+        BOOST_TEST(options.drain_limit.count() < milliseconds{grace}.count());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
