Keep upstreams in use during rolling restarts

Two causes, measured together. (2) A node that came back counted its upstream as new, and for ten seconds gave it a tenth of its part of the calls and more.

Changes: (1) a draining node leaves 0.6 s before it refuses work, and ends half a second after it began to refuse, also while callers come; a restart helps them more. (2) An upstream that says it is warm gets its full part at once; for others the part grows over 3 s, the users' cold start, instead of 10 s. A member record carries the flag.

--- a/src/goldcrestwell/cli/sidecar_options.cpp
+++ b/src/goldcrestwell/cli/sidecar_options.cpp
@@ -31,16 +31,22 @@
 // Callers turn away from a node that is not ready after two questions a second apart, but not while half of the nodes
 // of their data centre stop: so the node takes work for as long as its longest calls leave time before the end by
 // force. On a slow host with a thin link a download needs a second beside its time-out of 1.5 s.
-constexpr milliseconds drain_linger{2'600};
+constexpr milliseconds drain_linger{2'800};
 constexpr milliseconds last_calls{3'000};
+// Other nodes hear within some hundred milliseconds that the upstream leaves; what they send meanwhile still runs.
+constexpr milliseconds leave_notice{600};
+// Long enough for an answer to every caller with an open connection, at two calls a second.
+constexpr milliseconds drain_refusal{500};
 // A host has about three callers with two calls a second each, so one second without a call means that they have left.
 constexpr milliseconds drain_quiet{1'000};
 // Kept free before the end by force. An earlier end would only cut answers that are still being written.
-constexpr milliseconds stop_margin{350};
+constexpr milliseconds stop_margin{450};
 constexpr milliseconds lonely_start{1'500};
 constexpr std::size_t control_bytes_per_second = 20'000;
 constexpr milliseconds default_retry_after{300};
 constexpr milliseconds shortest_retry_after{100};
+// The users' upstreams are cold for three seconds; the announcement that ends it may be lost.
+constexpr milliseconds slow_start{3'000};
 constexpr std::uint32_t redirects = 3;
 // A refused or hung connection to the upstream on the same host shows at once.
 constexpr milliseconds connect_timeout{250};
@@ -65,11 +71,14 @@
         .calls = {.max_redirects = redirects,
                   .retry_after = default_retry_after,
                   .shortest_retry = shortest_retry_after,
+                  .slow_start = slow_start,
                   .retries = {.per_call = retries_per_call, .per_second = retries_per_second, .saved = retries_saved}},
         .announcement_expiry = settings.announcement_interval * announcements_missed,
         .drain_linger = drain_linger,
         .drain_quiet = drain_quiet,
         .drain_notice = drain_notice(settings),
+        .drain_leave = std::min(drain_notice(settings), drain_linger) - leave_notice,
+        .drain_refusal = drain_refusal,
         .leave_grace = std::min(longest_leave_grace, settings.upstream_drain / leave_grace_part),
         .lonely_start = lonely_start};
 }
--- a/src/goldcrestwell/codec/wire_fields.hpp
+++ b/src/goldcrestwell/codec/wire_fields.hpp
@@ -28,7 +28,7 @@
 template <typename Self> auto fields_of(Self& v, wire_tag<move_key>) { return std::tie(v.row, v.row_version); }
 template <typename Self> auto fields_of(Self& v, wire_tag<move_state>) { return std::tie(v.stage, v.done, v.taken_back, v.reason, v.rechecks); }
 template <typename Self> auto fields_of(Self& v, wire_tag<move_update>) { return std::tie(v.key, v.state); }
-template <typename Self> auto fields_of(Self& v, wire_tag<upstream_info>) { return std::tie(v.service, v.version, v.slots, v.connections, v.generation); }
+template <typename Self> auto fields_of(Self& v, wire_tag<upstream_info>) { return std::tie(v.service, v.version, v.slots, v.connections, v.generation, v.warm); }
 template <typename Self> auto fields_of(Self& v, wire_tag<version_share>) { return std::tie(v.version, v.share); }
 template <typename Self> auto fields_of(Self& v, wire_tag<route_base>) { return std::tie(v.route, v.shares); }
 template <typename Self> auto fields_of(Self& v, wire_tag<edit_verdict>) { return std::tie(v.id, v.at, v.reason, v.row); }
--- a/src/goldcrestwell/core/message/upstream_info.hpp
+++ b/src/goldcrestwell/core/message/upstream_info.hpp
@@ -17,6 +17,8 @@
     std::uint32_t connections{};
     /** @brief Differs between two starts of an upstream at the same place; zero if the upstream does not state it. */
     std::uint64_t generation{};
+    /** @brief It has said that its cold start is over. */
+    bool warm{};
 
     [[nodiscard]] friend bool operator==(const upstream_info&, const upstream_info&) = default;
 };
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -167,9 +167,7 @@
     if (upstream_ && (now.steady >= announcement_expires_ || (withdraw_at_ && now.steady >= *withdraw_at_))) {
         on_withdraw(now);
     }
-    if (refuses_work()) {
-        ledger_.drain(now);
-    }
+    continue_drain();
     settle();
 }
 
@@ -177,21 +175,32 @@
     now_ = now;
     if (!drain_started_) {
         drain_started_ = now.steady;
-        membership_.leave(now);
-        if (refuses_work()) {
-            ledger_.drain(now);
-        }
+        continue_drain();
     }
     settle();
 }
 
+// Callers need seconds to turn away, other nodes some hundred milliseconds, and the upstream goes on running. So it
+// stays in use while the callers leave; else a rolling restart takes each upstream out of use for twice as long.
+void node::continue_drain() {
+    if (drain_started_ && now_.steady >= *drain_started_ + options_.drain_leave &&
+        !std::exchange(drain_announced_, true)) {
+        membership_.leave(now_);
+    }
+    if (refuses_work()) {
+        ledger_.drain(now_);
+    }
+}
+
 // Callers whose data centre has lost half of its nodes come back to a node that is not ready. A node that has gone
-// fails them, one that stays serves them.
+// fails them, one that stays serves them. Once it refuses them, a restart helps them more than further refusals.
 bool node::drained(const time_sample now) const noexcept {
     if (!drain_started_ || now.steady - *drain_started_ < options_.drain_linger || in_progress() != 0) {
         return false;
     }
-    return !last_call_ || now.steady - *last_call_ >= options_.drain_quiet;
+    const auto refused_enough = options_.drain_refusal > std::chrono::milliseconds{} &&
+                                now.steady >= *drain_started_ + options_.drain_notice + options_.drain_refusal;
+    return refused_enough || !last_call_ || now.steady - *last_call_ >= options_.drain_quiet;
 }
 
 std::size_t node::in_progress() const noexcept {
@@ -262,7 +271,9 @@
         consider(announcement_expires_);
         consider(withdraw_at_);
     }
-    if (drain_started_ && !refuses_work()) {
+    if (drain_started_ && !drain_announced_) {
+        consider(*drain_started_ + options_.drain_leave);
+    } else if (drain_started_ && !refuses_work()) {
         consider(*drain_started_ + options_.drain_notice);
     }
     if (!ready() && now_.steady < started_ + options_.lonely_start) {
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -189,6 +189,8 @@
     void receive_position(node_id from, log_offset position);
     void observe(const call_observation& observation);
     [[nodiscard]] bool refuses_work() const noexcept;
+    /** @brief Continues a drain: the upstream leaves first, then new work is refused. */
+    void continue_drain();
     [[nodiscard]] row_terms terms_of(const row_key& key) const;
 
     node_options options_;
@@ -223,6 +225,7 @@
     std::optional<steady_time> withdraw_at_;
     steady_time started_{};
     std::optional<steady_time> drain_started_;
+    bool drain_announced_{};
     std::optional<steady_time> last_call_;
     log_offset advertised_position_;
     bool ready_reported_{};
--- a/src/goldcrestwell/core/node/node_options.hpp
+++ b/src/goldcrestwell/core/node/node_options.hpp
@@ -29,6 +29,8 @@
     std::chrono::milliseconds retry_after{};
     /** @brief Shortest time after which a caller refused for lack of room may come back; zero states none. */
     std::chrono::milliseconds shortest_retry{};
+    /** @brief Time in which a new upstream's part of the calls grows, if it does not say earlier that it is warm. */
+    std::chrono::milliseconds slow_start{10'000};
     retry_budget_options retries;
 };
 
@@ -70,6 +72,10 @@
     std::chrono::milliseconds drain_quiet{};
     /** @brief A draining node takes new work for this long, until callers and nodes have turned away from it. */
     std::chrono::milliseconds drain_notice{};
+    /** @brief The upstream of a draining node stays in use for this long, and for `drain_refusal` at least after it. */
+    std::chrono::milliseconds drain_leave{};
+    /** @brief Time for which a draining node refuses work before it may end although callers still come. */
+    std::chrono::milliseconds drain_refusal{};
     /** @brief An upstream that leaves still gets the work that other nodes sent before they knew, for this long. */
     std::chrono::milliseconds leave_grace{};
     /** @brief Time after the start in which a node without any known member does not count as ready. */
--- a/src/goldcrestwell/core/node/node_wiring.cpp
+++ b/src/goldcrestwell/core/node/node_wiring.cpp
@@ -84,7 +84,7 @@
             .max_redirects = options_.calls.max_redirects,
             .retry_after = options_.calls.retry_after,
             .retries = options_.calls.retries,
-            .selection = {.seed = options_.seed},
+            .selection = {.seed = options_.seed, .slow_start = options_.calls.slow_start},
             .find_route = [this](const call_request& call) { return find_route(call); },
             .terms = [this](const row_key& key) { return terms_of(key); },
             .shares = [this](const route_view& route) { return shares_of(route); },
--- a/src/goldcrestwell/core/node/upstream_registry.cpp
+++ b/src/goldcrestwell/core/node/upstream_registry.cpp
@@ -37,7 +37,8 @@
     return {.service = newest_->service,
             .version = newest_->version,
             .slots = newest_->slots,
-            .generation = static_cast<std::uint64_t>(newest_->started.time_since_epoch().count())};
+            .generation = static_cast<std::uint64_t>(newest_->started.time_since_epoch().count()),
+            .warm = newest_->cold_for <= std::chrono::milliseconds{}};
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/routing/upstream_candidate.hpp
+++ b/src/goldcrestwell/core/routing/upstream_candidate.hpp
@@ -17,6 +17,8 @@
     bool local{};
     /** @brief When the upstream was first announced; slow start counts from here. */
     steady_time since{};
+    /** @brief Gets its full part of the calls at once. */
+    bool warm{};
 };
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/routing/upstream_selector.cpp
+++ b/src/goldcrestwell/core/routing/upstream_selector.cpp
@@ -59,7 +59,7 @@
 
 bool upstream_selector::warm_enough(const upstream_candidate& candidate, const steady_time now) {
     const auto age = now - candidate.since;
-    if (age >= options_.slow_start) {
+    if (candidate.warm || age >= options_.slow_start) {
         return true;
     }
     const std::chrono::duration<double> ramp = options_.slow_start;
--- a/test/core/node/upstream_registry.cpp
+++ b/test/core/node/upstream_registry.cpp
@@ -53,4 +53,14 @@
     BOOST_TEST((registry.on_announcement(forged) == upstream_change::none));
 }
 
+// Guards against a cold upstream that counts as warm, and against one that stays cold for the other nodes.
+BOOST_FIXTURE_TEST_CASE(upstream_is_warm_once_it_says_so, fixture) {
+    auto cold = announcement(1);
+    cold.cold_for = std::chrono::milliseconds{1'200};
+    static_cast<void>(registry.on_announcement(cold));
+    BOOST_TEST(!registry.info().warm);
+    BOOST_TEST((registry.on_announcement(announcement(2)) == upstream_change::renewed));
+    BOOST_TEST(registry.info().warm);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/core/routing/upstream_selector.cpp
+++ b/test/core/routing/upstream_selector.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <ranges>
 #include <map>
 
 using namespace goldcrestwell;
@@ -84,6 +85,19 @@
     BOOST_TEST(calls.at(node_id{10}) > 0);
 }
 
+// Load pattern: rolling restart of nodes while their upstreams go on running. Guards against a warm upstream that gets a
+// tenth of its part of the calls after the node beside it has come back.
+BOOST_AUTO_TEST_CASE(warm_upstream_gets_its_full_part_at_once) {
+    auto candidates = group(10, 0);
+    candidates.back().since = start;
+    candidates.back().warm = true;
+    upstream_selector selector{{.seed = 1, .slow_start = 1'000s}};
+    const auto calls = spread(selector, candidates, {});
+    const auto [fewest, most] = std::ranges::minmax(calls | std::views::values);
+    BOOST_TEST(calls.at(node_id{10}) * 10 > most * 8);
+    BOOST_TEST(fewest > 0);
+}
+
 // Guards against a retry at a node that was tried, also when only one of many nodes is left.
 BOOST_AUTO_TEST_CASE(tried_nodes_are_avoided) {
     const auto candidates = group(20, 20);
