Read the store on three nodes of a data centre and pass documents on packed

Change: a node on standby reads nothing while it hears from other nodes; it asks a peer that has news, at once if it is near. A node that hears from nobody for a second reads itself. Three nodes of a data centre read instead of two.

--- a/src/goldcrestwell/core/config/document_register.cpp
+++ b/src/goldcrestwell/core/config/document_register.cpp
@@ -33,7 +33,11 @@
         return;
     }
     const auto near = options_.near && options_.near(from);
-    const auto due = now + (near ? options_.pull_near_after : options_.pull_after);
+    const auto standby = options_.on_standby && options_.on_standby();
+    // A far peer is asked a little later also on standby, so that one near node fetches a change for the others.
+    const auto wait = standby ? (near ? std::chrono::milliseconds{} : options_.pull_far_standby)
+                              : (near ? options_.pull_near_after : options_.pull_after);
+    const auto due = now + wait;
     if (!pull_) {
         pull_ = pending_pull{.from = from, .position = position, .due = due};
     } else if (position > pull_->position || (near && position == pull_->position)) {
@@ -43,18 +47,39 @@
     }
 }
 
-void document_register::on_pull(const node_id from, const document_pull& pull) const {
+const std::string& document_register::packed(const operator_record& record) {
+    auto& known = packed_[record.key];
+    if (known.offset != record.offset) {
+        known = {.offset = record.offset, .payload = options_.pack ? options_.pack(record.payload) : record.payload};
+    }
+    return known.payload;
+}
+
+void document_register::on_pull(const node_id from, const document_pull& pull) {
     document_batch batch{.through = position_};
     for (const auto& [key, record] : newest_) {
         if (record.offset > pull.after) {
-            batch.records.push_back(record);
+            batch.records.push_back({.offset = record.offset, .key = key, .payload = packed(record)});
         }
     }
     options_.send_batch(from, batch);
 }
 
 void document_register::on_batch(const document_batch& batch) {
-    on_records(batch.records, batch.through);
+    if (!options_.unpack) {
+        on_records(batch.records, batch.through);
+        return;
+    }
+    auto records = batch.records;
+    for (auto& record : records) {
+        auto payload = options_.unpack(record.payload);
+        if (!payload) {
+            options_.unreadable(record);
+            return;
+        }
+        record.payload = std::move(*payload);
+    }
+    on_records(records, batch.through);
 }
 
 void document_register::on_timer(const steady_time now) {
--- a/src/goldcrestwell/core/config/store_follower.cpp
+++ b/src/goldcrestwell/core/config/store_follower.cpp
@@ -43,7 +43,7 @@
         retry_ = now + options_.empty_pause;
         return;
     }
-    if (options_.prompt && !options_.prompt()) {
+    if (on_standby()) {
         pause(options_.standby_pause, now);
         return;
     }
@@ -62,9 +62,14 @@
 }
 
 void store_follower::on_timer(const steady_time now) {
-    if (retry_ && now >= *retry_) {
-        read();
+    if (!retry_ || now < *retry_) {
+        return;
+    }
+    if (reachable_ && position_ && on_standby() && options_.informed && options_.informed()) {
+        retry_ = now + options_.standby_check;
+        return;
     }
+    read();
 }
 
 void store_follower::set_reachable(const bool reachable) {
--- a/src/goldcrestwell/core/config/store_follower.hpp
+++ b/src/goldcrestwell/core/config/store_follower.hpp
@@ -24,8 +24,12 @@
     std::chrono::milliseconds empty_pause{20};
     /** @brief Longest pause of a node that need not read each change at once. */
     std::chrono::milliseconds standby_pause{};
+    /** @brief Interval at which a node on standby checks whether it still hears from others. */
+    std::chrono::milliseconds standby_check{500};
     /** @brief True if this node reads each change at once; if empty, it does. */
     std::function<bool()> prompt;
+    /** @brief True if other nodes were heard lately, so that they bring each change; if empty, they do not. */
+    std::function<bool()> informed;
     /** @brief Reads the newest record of each key. */
     std::function<void()> read_newest;
     /** @brief Reads the records after a position, waiting for new ones. */
@@ -39,8 +43,9 @@
 /**
  * @brief Follows the operators' topic: the newest records first, then a long poll for each change.
  *
- * Each read of each node is a call to the store. A node on standby pauses after a read that brought news, so that a
- * series of changes costs it a few calls; meanwhile it hears from nodes that read at once.
+ * Each read of each node is a call to the store. A node on standby reads nothing while it hears from other nodes, which
+ * bring each change; while it hears from none, it pauses after a read that brought news, so that a series of changes
+ * costs it a few calls.
  */
 class store_follower {
 public:
@@ -58,6 +63,7 @@
 private:
     void read();
     void pause(std::chrono::milliseconds longest, steady_time now);
+    [[nodiscard]] bool on_standby() const { return options_.prompt && !options_.prompt(); }
     void set_reachable(bool reachable);
 
     store_follower_options options_;
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -65,6 +65,7 @@
 
 void node::on_peer_message(const node_id from, const peer_message& message, const time_sample now) {
     now_ = now;
+    last_heard_ = now.steady;
     dispatcher_.on_heard(from, now);
     std::visit([this, from](const auto& alternative) { handle(from, alternative); }, message);
     settle();
@@ -84,6 +85,7 @@
 
 void node::on_datagram(const datagram& message, const time_sample now) {
     now_ = now;
+    last_heard_ = now.steady;
     membership_.on_datagram(message, now);
     settle();
 }
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -227,6 +227,8 @@
     std::optional<steady_time> drain_started_;
     bool drain_announced_{};
     std::optional<steady_time> last_call_;
+    /** @brief When another node was heard last. */
+    steady_time last_heard_{};
     log_offset advertised_position_;
     bool ready_reported_{};
     bool departing_{};
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -4,6 +4,7 @@
 #include "goldcrestwell/core/node/node.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <span>
 #include <string_view>
@@ -11,6 +12,14 @@
 
 namespace goldcrestwell {
 
+namespace {
+
+// A node probes another one every half second and is probed as often, so that silence for a second means that it is cut
+// off. With the check each half second and a read it still learns of a change within two seconds.
+constexpr std::chrono::milliseconds silence_limit{1'000};
+
+} // namespace
+
 operator_source_links node::make_operator_links() {
     return {
         .seed = options_.seed,
@@ -46,6 +55,7 @@
                 return record != nullptr && record->data_centre == options_.data_centre;
             },
         .prompt = [this] { return reads_store_at_once(); },
+        .informed = [this] { return now_.steady - last_heard_ < silence_limit; },
         .config_changed =
             [this](const routing_config& config) {
                 options_.hooks.event(config_applied{
@@ -83,7 +93,9 @@
 
 // The others of the data centre hear of a change from these and fetch it from them, which costs no call to the store.
 bool node::reads_store_at_once() const {
-    constexpr std::size_t readers = 2;
+    // With a third of the nodes cut off from the store, one data centre in thirty has none that reads; it then hears
+    // from the others.
+    constexpr std::size_t readers = 3;
     constexpr std::string_view purpose{"operators' topic"};
     auto order = membership_.alive_in(options_.data_centre);
     if (std::ranges::find(order, options_.self) == order.end()) {
--- a/src/goldcrestwell/core/node/operator_source.cpp
+++ b/src/goldcrestwell/core/node/operator_source.cpp
@@ -33,8 +33,12 @@
 operator_source::operator_source(operator_source_options options, operator_source_links links)
     : options_{std::move(options)}, links_{std::move(links)}, random_{links_.seed},
       register_{{.near = links_.near,
+                 .on_standby = [this] { return !links_.prompt(); },
                  .send_pull = links_.send_pull,
                  .send_batch = links_.send_batch,
+                 .pack = options_.hooks.pack,
+                 .unpack = options_.hooks.unpack,
+                 .unreadable = links_.unreadable,
                  .changed =
                      [this](const operator_record& record) {
                          take(record);
@@ -43,6 +47,7 @@
                  .long_poll = options_.long_poll,
                  .standby_pause = options_.standby_pause,
                  .prompt = links_.prompt,
+                 .informed = links_.informed,
                  .read_newest = options_.hooks.read_newest,
                  .read_after = options_.hooks.read_after,
                  .received = [this](const store_page& page) { register_.on_records(page.records, page.end); },
--- a/src/goldcrestwell/core/node/operator_source.hpp
+++ b/src/goldcrestwell/core/node/operator_source.hpp
@@ -34,6 +34,8 @@
     std::function<bool(node_id)> near;
     /** @brief True if this node reads each change of the store at once. */
     std::function<bool()> prompt;
+    /** @brief True if other nodes were heard lately. */
+    std::function<bool()> informed;
     std::function<void(const routing_config&)> config_changed;
     std::function<void(const rollout_order&)> order_changed;
     std::function<void(bool reachable)> store_changed;
@@ -52,7 +54,7 @@
     void on_statuses(const std::optional<std::vector<rollout_status>>& statuses, log_offset end, time_sample now);
     void on_status_written(bool confirmed, time_sample now);
     void on_peer_position(node_id from, log_offset position, time_sample now);
-    void on_pull(node_id from, const document_pull& pull) const { register_.on_pull(from, pull); }
+    void on_pull(node_id from, const document_pull& pull) { register_.on_pull(from, pull); }
     void on_batch(const document_batch& batch, time_sample now);
     void on_timer(time_sample now);
     [[nodiscard]] std::optional<steady_time> next_timer() const;
--- a/src/goldcrestwell/core/node/operator_source_options.hpp
+++ b/src/goldcrestwell/core/node/operator_source_options.hpp
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace goldcrestwell {
 
@@ -27,6 +29,9 @@
     /** @brief Writes this node's entry to the directory of nodes. */
     std::function<void()> write_entry;
     std::function<void()> read_entries;
+    /** @brief Makes a document small for its way to other nodes; both may be empty. */
+    std::function<std::string(std::string_view payload)> pack;
+    std::function<std::optional<std::string>(std::string_view packed)> unpack;
 };
 
 /** @brief Settings of a node whose configuration comes from operators' documents in the platform's store. */
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestwell/platform/sidecar.hpp"
 
+#include "goldcrestwell/codec/document_packing.hpp"
 #include "goldcrestwell/platform/call_codec.hpp"
 #include "goldcrestwell/platform/names.hpp"
 #include "goldcrestwell/platform/operator_codec.hpp"
@@ -97,7 +98,9 @@
             .read_entries =
                 [this] {
                     read_entries();
-                }};
+                },
+            .pack = pack_document,
+            .unpack = unpack_document};
 }
 
 void sidecar::read_entries() {
--- a/test/core/config/document_register.cpp
+++ b/test/core/config/document_register.cpp
@@ -72,4 +72,63 @@
     BOOST_TEST((node.sent.front().through == log_offset{4}));
 }
 
+// Load: one change fetched by many nodes. Guards against a document that is packed again for each of them, and against
+// one that arrives packed.
+BOOST_AUTO_TEST_CASE(documents_are_packed_once_and_unpacked) {
+    int packings = 0;
+    std::vector<std::string> applied;
+    document_register documents{{.send_batch = [&](node_id, const document_batch& batch) { documents.on_batch(batch); },
+                                 .pack =
+                                     [&packings](const std::string_view text) {
+                                         ++packings;
+                                         return "<" + std::string{text};
+                                     },
+                                 .unpack =
+                                     [](const std::string_view text) {
+                                         return text.starts_with('<') ? std::optional{std::string{text.substr(1)}}
+                                                                      : std::nullopt;
+                                     },
+                                 .unreadable = [](const operator_record&) {},
+                                 .changed =
+                                     [&applied](const operator_record& changed) {
+                                         applied.push_back(changed.payload);
+                                     }}};
+    documents.on_records(std::vector{record(4, "a")}, log_offset{4});
+    documents.on_pull(peer, {});
+    documents.on_pull(peer, {});
+    BOOST_TEST(packings == 1);
+    documents.on_batch({.through = log_offset{9}, .records = {{.offset = log_offset{9}, .key = "a", .payload = "<9"}}});
+    BOOST_TEST(applied == (std::vector<std::string>{"4", "9"}), boost::test_tools::per_element());
+}
+
+// Guards against a position that moves on although the record it stands for could not be read.
+BOOST_AUTO_TEST_CASE(unreadable_batch_changes_nothing) {
+    int unreadable = 0;
+    document_register documents{{.unpack = [](std::string_view) { return std::optional<std::string>{}; },
+                                 .unreadable = [&unreadable](const operator_record&) { ++unreadable; },
+                                 .changed =
+                                     [](const operator_record&) {
+                                     }}};
+    documents.on_batch({.through = log_offset{9}, .records = {record(9, "a")}});
+    BOOST_TEST(unreadable == 1);
+    BOOST_TEST((documents.position() == log_offset{}));
+}
+
+// Guards against a node on standby that waits for a read of its own, which does not come.
+BOOST_AUTO_TEST_CASE(standby_node_asks_a_near_peer_at_once) {
+    int pulls = 0;
+    document_register documents{{.near = [](const node_id from) { return from == peer; },
+                                 .on_standby = [] { return true; },
+                                 .send_pull =
+                                     [&pulls](node_id, const document_pull&) {
+                                         ++pulls;
+                                     }}};
+    documents.on_peer_position(node_id{2, 1}, log_offset{2}, start);
+    documents.on_timer(start);
+    BOOST_TEST(pulls == 0);
+    documents.on_peer_position(peer, log_offset{2}, start);
+    documents.on_timer(start);
+    BOOST_TEST(pulls == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/core/config/store_follower.cpp
+++ b/test/core/config/store_follower.cpp
@@ -14,9 +14,11 @@
     std::vector<log_offset> reads;
     std::vector<bool> reachable;
     bool prompt{true};
+    bool informed{};
     store_follower follower{{.seed = 1,
                              .standby_pause = milliseconds{1'400},
                              .prompt = [this] { return prompt; },
+                             .informed = [this] { return informed; },
                              .read_newest = [this] { ++newest; },
                              .read_after = [this](const log_offset after, milliseconds) { reads.push_back(after); },
                              .received = [](const store_page&) {},
@@ -102,6 +104,39 @@
     BOOST_TEST(node.reads.size() >= 3U);
 }
 
+// Load: single changes, each of which would end the long poll of every node. Guards against a call to the store for each
+// change and standby node, and against one that is cut off from its peers and does not read within two seconds.
+BOOST_AUTO_TEST_CASE(standby_node_reads_only_when_peers_are_silent) {
+    fixture node;
+    node.prompt = false;
+    node.informed = true;
+    node.follower.start();
+    node.answer(read_outcome::ok, 1);
+    for (int second = 0; second < 60; ++second) {
+        node.now += milliseconds{1'000};
+        node.follower.on_timer(node.now);
+    }
+    BOOST_TEST(node.reads.empty());
+    node.informed = false;
+    node.now += milliseconds{1'000};
+    node.follower.on_timer(node.now);
+    BOOST_TEST(node.reads.size() == 1U);
+}
+
+// Guards against a node that becomes the reader of its data centre and does not read.
+BOOST_AUTO_TEST_CASE(standby_node_reads_once_it_is_chosen) {
+    fixture node;
+    node.prompt = false;
+    node.informed = true;
+    node.follower.start();
+    node.answer(read_outcome::ok, 1);
+    node.wait();
+    BOOST_TEST(node.reads.empty());
+    node.prompt = true;
+    node.wait();
+    BOOST_TEST(node.reads.size() == 1U);
+}
+
 // Guards against a standby node that reads again what a peer has sent.
 BOOST_AUTO_TEST_CASE(standby_node_continues_behind_what_a_peer_sent) {
     fixture node;
--- a/test/system/tcp_relay.cpp
+++ b/test/system/tcp_relay.cpp
@@ -5,7 +5,9 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include <algorithm>
 #include <stdexcept>
+#include <string>
 
 namespace goldcrestwell::test {
 
@@ -53,6 +55,36 @@
     }
 }
 
+void tcp_relay::reset_open_connections() {
+    constexpr linger at_once{.l_onoff = 1, .l_linger = 0};
+    for (const auto& entry : pairs_) {
+        *entry.alive = false;
+        for (auto* side : {entry.front.get(), entry.back.get()}) {
+            setsockopt(bufferevent_getfd(side), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+        }
+    }
+    pairs_.clear();
+}
+
+void tcp_relay::hold(const relay_way way, const bool held) {
+    (way == relay_way::to_target ? hold_to_target_ : hold_to_source_) = held;
+    for (const auto& entry : pairs_) {
+        apply_hold(entry);
+    }
+}
+
+void tcp_relay::apply_hold(const pair& entry) const {
+    const auto set = [&entry](bufferevent* side, const bool held) {
+        if (held || entry.silent) {
+            bufferevent_disable(side, EV_READ);
+        } else {
+            bufferevent_enable(side, EV_READ);
+        }
+    };
+    set(entry.front.get(), hold_to_target_);
+    set(entry.back.get(), hold_to_source_);
+}
+
 void tcp_relay::accept(const int descriptor) {
     ++accepted_;
     auto& added = pairs_.emplace_back();
@@ -62,8 +94,9 @@
     auto address = loopback(target_);
     for (auto* side : {added.front.get(), added.back.get()}) {
         bufferevent_setcb(side, on_read, nullptr, on_event, &added);
-        bufferevent_enable(side, EV_READ | EV_WRITE);
+        bufferevent_enable(side, EV_WRITE);
     }
+    apply_hold(added);
     bufferevent_socket_connect(added.back.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address));
 }
 
@@ -71,13 +104,36 @@
     const auto& entry = *static_cast<pair*>(argument);
     auto* other = source == entry.front.get() ? entry.back.get() : entry.front.get();
     if (!entry.silent) {
+        entry.owner->pass(source, entry, other);
+    }
+}
+
+void tcp_relay::pass(bufferevent* source, const pair& entry, bufferevent* other) {
+    if (delay_ == std::chrono::milliseconds{} && delayed_.empty()) {
         bufferevent_write_buffer(other, bufferevent_get_input(source));
+        return;
     }
+    auto* input = bufferevent_get_input(source);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    const auto place = delayed_.emplace(delayed_.end());
+    *place = std::make_unique<timer>(loop_, [this, place, other, alive = entry.alive, bytes](time_sample) {
+        if (*alive) {
+            bufferevent_write(other, bytes.data(), bytes.size());
+        }
+        // The timer owns this function, so it is freed after the function has returned.
+        loop_.defer([ended = std::shared_ptr<timer>{std::move(*place)}] {});
+        delayed_.erase(place);
+    });
+    // A shorter delay must not let bytes overtake those before them.
+    last_due_ = std::max(loop_.now().steady + delay_, last_due_ + std::chrono::microseconds{1});
+    (*place)->arm_at(last_due_);
 }
 
 void tcp_relay::on_event(bufferevent* /*unused*/, const short what, void* argument) {
     auto& entry = *static_cast<pair*>(argument);
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        *entry.alive = false;
         entry.owner->pairs_.remove_if([&entry](const pair& candidate) { return &candidate == &entry; });
     }
 }
