--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -14,7 +14,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 CACHE = pathlib.Path(os.environ.get("XDG_CACHE_HOME", pathlib.Path.home() / ".cache")) / "goldcrestwell-lint"
-FOLDERS = tuple(str(ROOT / name) + os.sep for name in ("src", "test", "bench"))
+FOLDERS = tuple(str(ROOT / name) + os.sep for name in ("src", "test", "bench", "soak"))
 
 
 def content_key(entry, base):
--- a/test/platform/sidecar.cpp
+++ b/test/platform/sidecar.cpp
@@ -71,6 +71,11 @@
     BOOST_TEST(place.call(one, "GET", "/read/a").answer.status == 404U);
 }
 
+// Guards against a status that shows no configuration where it comes from operators' documents.
+BOOST_FIXTURE_TEST_CASE(status_shows_the_version_in_force, fixture) {
+    BOOST_TEST(place.status(one).find("\"config_version\": 3") != std::string::npos);
+}
+
 // Guards against work for an upstream that has said it leaves.
 BOOST_FIXTURE_TEST_CASE(leaving_upstream_gets_no_work_after_its_drain, fixture) {
     BOOST_TEST(place.announce(one, "draining") == 200U);
--- a/test/platform/site.cpp
+++ b/test/platform/site.cpp
@@ -83,6 +83,10 @@
     return send(to_endpoint(where.settings.ready_listener), {.target = "/goldcrestwell/ready"}).answer.status;
 }
 
+std::string site::status(const host& where) {
+    return send(to_endpoint(where.settings.admin_listener), {.target = "/status"}).answer.body;
+}
+
 upstream_result site::call(const host& where, const std::string& method, const std::string& target,
                            const std::string& id, const std::chrono::milliseconds deadline) {
     return send(to_endpoint(where.settings.caller_listener),
--- a/test/platform/site.hpp
+++ b/test/platform/site.hpp
@@ -40,6 +40,8 @@
     std::uint32_t announce(host& where, const std::string& state = "ready");
     /** @return Status of `GET` on the ready address. */
     std::uint32_t ready(const host& where);
+    /** @return Body of `GET /status` on the admin address. */
+    std::string status(const host& where);
     /** @brief Sends a request to the caller listener of a host. */
     upstream_result call(const host& where, const std::string& method, const std::string& target,
                          const std::string& id = "id-1", std::chrono::milliseconds deadline = std::chrono::seconds{2});
