Forget the headers of a message once it has been taken

Cause: the parser kept the state of the message before, so a kept connection that was closed before the next answer began counted as one whose answer was cut.

--- a/src/goldcrestwell/shell/http_message_parser.cpp
+++ b/src/goldcrestwell/shell/http_message_parser.cpp
@@ -91,6 +91,7 @@
     if (!std::exchange(complete_, false)) {
         return std::nullopt;
     }
+    headers_complete_ = false;
     return std::exchange(message_, {});
 }
 
