Write an answer whole before its connection is closed

Cause: when a stopping node closes its callers' connections, one whose answer was still in the buffer was shut down for writing at once, and the rest was lost. The connection now ends behind the answer.

Figures: answer_is_written_before_its_connection_is_closed fails before and passes.

--- a/src/goldcrestwell/shell/caller_connection.cpp
+++ b/src/goldcrestwell/shell/caller_connection.cpp
@@ -100,8 +100,9 @@
 
 void caller_connection::close_when_answered() {
     if (pending_.empty() && !parser_.inside() && !closing_) {
+        // An answer may still have to be written; the connection then ends behind it.
         closing_ = true;
-        finish_writing();
+        on_written();
         return;
     }
     if (parser_.inside()) {
--- a/test/shell/caller_server.cpp
+++ b/test/shell/caller_server.cpp
@@ -98,4 +98,29 @@
     BOOST_TEST(received().starts_with("HTTP/1.1 413 "));
 }
 
+// Load: downloads over thin links while nodes stop one after the other. Guards against an answer that is cut because
+// its connection is closed while a part of it is still to be written.
+BOOST_FIXTURE_TEST_CASE(answer_is_written_before_its_connection_is_closed, fixture) {
+    const std::string body(std::size_t{16} << 20U, 'x');
+    send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_REQUIRE(requests.size() == 1U);
+    requests[0]->reply({.status = 200, .body = body});
+    server.close_connections();
+    std::size_t bytes = 0;
+    // What the kernel holds for the connection is read in turns with what the server still has to write.
+    for (int turns = 0; turns < 600 && bytes < body.size(); ++turns) {
+        timer end{loop, [this](time_sample) {
+                      loop.stop();
+                  }};
+        end.arm_after(std::chrono::milliseconds{1});
+        loop.run();
+        std::array<char, 65'536> chunk{};
+        for (auto count = recv(client, chunk.data(), chunk.size(), MSG_DONTWAIT); count > 0;
+             count = recv(client, chunk.data(), chunk.size(), MSG_DONTWAIT)) {
+            bytes += static_cast<std::size_t>(count);
+        }
+    }
+    BOOST_TEST(bytes > body.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
