--- a/src/goldcrestwell/core/node/candidate_index.cpp
+++ b/src/goldcrestwell/core/node/candidate_index.cpp
@@ -32,8 +32,11 @@
         return;
     }
     const key_type key{record.upstream->service, record.upstream->version};
-    const upstream_candidate entry{
-        .node = record.id, .slots = record.upstream->slots, .local = record.data_centre == own_, .since = since, .warm = record.upstream->warm};
+    const upstream_candidate entry{.node = record.id,
+                                   .slots = record.upstream->slots,
+                                   .local = record.data_centre == own_,
+                                   .since = since,
+                                   .warm = record.upstream->warm};
     auto& group = candidates_[key];
     group.insert(std::upper_bound(group.begin(), group.end(), entry, precedes), entry);
     places_.insert_or_assign(
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -95,10 +95,7 @@
                                       process_.core().on_entry_written(confirmed, loop_.now());
                                   });
                 },
-            .read_entries =
-                [this] {
-                    read_entries();
-                },
+            .read_entries = [this] { read_entries(); },
             .pack = pack_document,
             .unpack = unpack_document};
 }
--- a/test/core/config/store_follower.cpp
+++ b/test/core/config/store_follower.cpp
@@ -104,8 +104,8 @@
     BOOST_TEST(node.reads.size() >= 3U);
 }
 
-// Load: single changes, each of which would end the long poll of every node. Guards against a call to the store for each
-// change and standby node, and against one that is cut off from its peers and does not read within two seconds.
+// Load: single changes, each of which would end the long poll of every node. Guards against a call to the store for
+// each change and standby node, and against one that is cut off from its peers and does not read within two seconds.
 BOOST_AUTO_TEST_CASE(standby_node_reads_only_when_peers_are_silent) {
     fixture node;
     node.prompt = false;
--- a/test/core/node/drain.cpp
+++ b/test/core/node/drain.cpp
@@ -74,8 +74,9 @@
     BOOST_TEST(draining.drained(at(milliseconds{2'000})));
 }
 
-// Load pattern: rolling restart of a quarter of the hosts in a burst. Guards against an upstream that is out of use from
-// the signal on: on one day each restart cost five seconds of an upstream, of which callers needed three to turn away.
+// Load pattern: rolling restart of a quarter of the hosts in a burst. Guards against an upstream that is out of use
+// from the signal on: on one day each restart cost five seconds of an upstream, of which callers needed three to turn
+// away.
 BOOST_AUTO_TEST_CASE(upstream_stays_in_use_while_callers_turn_away) {
     auto options = make_options();
     options.drain_leave = milliseconds{2'400};
--- a/test/core/routing/upstream_selector.cpp
+++ b/test/core/routing/upstream_selector.cpp
@@ -6,8 +6,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <ranges>
 #include <map>
+#include <ranges>
 
 using namespace goldcrestwell;
 using namespace std::chrono_literals;
@@ -85,8 +85,8 @@
     BOOST_TEST(calls.at(node_id{10}) > 0);
 }
 
-// Load pattern: rolling restart of nodes while their upstreams go on running. Guards against a warm upstream that gets a
-// tenth of its part of the calls after the node beside it has come back.
+// Load pattern: rolling restart of nodes while their upstreams go on running. Guards against a warm upstream that gets
+// a tenth of its part of the calls after the node beside it has come back.
 BOOST_AUTO_TEST_CASE(warm_upstream_gets_its_full_part_at_once) {
     auto candidates = group(10, 0);
     candidates.back().since = start;
--- a/test/shell/http_connection.cpp
+++ b/test/shell/http_connection.cpp
@@ -77,8 +77,8 @@
     event_loop loop;
     const canned_server server{loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
                                canned_server::ending::stay_open};
-    http_connection connection{
-        loop, server.address(), http_connection_options{.connect_timeout = std::chrono::milliseconds{20}}};
+    http_connection connection{loop, server.address(),
+                               http_connection_options{.connect_timeout = std::chrono::milliseconds{20}}};
     std::optional<upstream_outcome> outcome;
     connection.send({.timeout = std::chrono::seconds{5}},
                     [&outcome](const upstream_result& result) { outcome = result.outcome; });
--- a/test/shell/peer_transport.cpp
+++ b/test/shell/peer_transport.cpp
@@ -146,9 +146,8 @@
     // The connection and the timer are both due when the loop looks at them.
     std::this_thread::sleep_for(std::chrono::milliseconds{60});
     const auto greetings = [&second] {
-        return std::ranges::count_if(second.messages, [](const auto& message) {
-            return std::holds_alternative<hello>(message);
-        });
+        return std::ranges::count_if(second.messages,
+                                     [](const auto& message) { return std::holds_alternative<hello>(message); });
     };
     BOOST_REQUIRE(run_until(loop, [&] { return greetings() == 2; }));
     BOOST_TEST(first.not_sent.empty());
