--- a/test/core/routing/upstream_selector.cpp
+++ b/test/core/routing/upstream_selector.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <map>
-#include <ranges>
 
 using namespace goldcrestwell;
 using namespace std::chrono_literals;
@@ -93,9 +92,9 @@
     candidates.back().warm = true;
     upstream_selector selector{{.seed = 1, .slow_start = 1'000s}};
     const auto calls = spread(selector, candidates, {});
-    const auto [fewest, most] = std::ranges::minmax(calls | std::views::values);
+    BOOST_REQUIRE(calls.size() == candidates.size());
+    const auto most = std::ranges::max_element(calls, {}, [](const auto& entry) { return entry.second; })->second;
     BOOST_TEST(calls.at(node_id{10}) * 10 > most * 8);
-    BOOST_TEST(fewest > 0);
 }
 
 // Guards against a retry at a node that was tried, also when only one of many nodes is left.
