Accept figures with a fraction in the settings of a sidecar

The reader refused the number, so no process ever listened. Ruled out: a fault of the template. Test: fractions_are_rounded_down.

--- a/src/goldcrestwell/codec/settings_walker.cpp
+++ b/src/goldcrestwell/codec/settings_walker.cpp
@@ -102,6 +102,14 @@
     if (value == nullptr) {
         return std::nullopt;
     }
+    if (rounds_fractions_ && value->is_number_float()) {
+        const auto number = value->get<double>();
+        if (!(number >= static_cast<double>(min_value) && number <= static_cast<double>(max_value))) {
+            fail(path(key), settings_reason::out_of_range, range);
+            return std::nullopt;
+        }
+        return static_cast<std::uint64_t>(number);
+    }
     if (!value->is_number_integer()) {
         fail(path(key), settings_reason::wrong_type, range);
         return std::nullopt;
--- a/src/goldcrestwell/codec/settings_walker.hpp
+++ b/src/goldcrestwell/codec/settings_walker.hpp
@@ -28,6 +28,8 @@
 
     /** @brief Starts a group of keys; an empty name means the top level. */
     void enter(std::string_view group);
+    /** @brief Accepts numbers with a fraction from now on and rounds them down. */
+    void round_fractions() noexcept { rounds_fractions_ = true; }
 
     template <std::unsigned_integral Integer>
     void number(const std::string_view key, const std::string_view unit, const std::uint64_t min_value,
@@ -80,6 +82,7 @@
     const nlohmann::json& document_;
     const nlohmann::json* object_{};
     std::string group_;
+    bool rounds_fractions_{};
     std::set<std::string, std::less<>> known_keys_;
     std::vector<settings_fault> faults_;
     std::vector<setting_description> descriptions_;
--- a/src/goldcrestwell/codec/sidecar_settings_reader.cpp
+++ b/src/goldcrestwell/codec/sidecar_settings_reader.cpp
@@ -25,6 +25,8 @@
     sidecar_settings to;
     std::string host;
     std::uint16_t peer_port{};
+    // The platform fills in its own figures, which may have a fraction.
+    walker.round_fractions();
     walker.enter("");
     walker.address("host", host, presence::required);
     walker.number("peer_port", "", 1, max_port, peer_port, presence::required);
--- a/test/codec/settings.cpp
+++ b/test/codec/settings.cpp
@@ -1,4 +1,5 @@
 #include "goldcrestwell/codec/settings_reader.hpp"
+#include "goldcrestwell/codec/sidecar_settings_reader.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -149,3 +150,25 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(sidecar_settings_values)
+
+// Guards against a node that does not start because the platform filled in a figure with a fraction.
+BOOST_AUTO_TEST_CASE(fractions_are_rounded_down) {
+    const auto read = [](const std::string& retry_extra) {
+        sidecar_settings_reader reader;
+        return reader.read(R"({"host": "10.0.0.1", "peer_port": 7400, "data_centre": "a", "region": "r",
+            "caller_listener": "10.0.0.1:1", "ready_listener": "10.0.0.1:2", "announcement_listener": "10.0.0.1:3",
+            "admin_listener": "10.0.0.1:4", "upstream": {"service": "s", "address": "10.0.0.1:5"},
+            "store": {"address": "10.0.0.2:1"}, "calls": {"retry_extra": )" +
+                           retry_extra + "}}");
+    };
+    const auto rounded = read("34.5");
+    BOOST_REQUIRE(rounded.has_value());
+    BOOST_TEST(rounded->retry_extra == 34U);
+    BOOST_TEST(!read("-0.5").has_value());
+    BOOST_TEST(!read("1e300").has_value());
+    BOOST_TEST(!read("\"34\"").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
