Take documents and rollout states from peers at a restart

Change: the directory is read first and an entry written only if it is missing; documents come from a peer that is ahead, with the rollout states before them; only nodes that decide about a rollout, or that do not learn its state within 0.7 s, read the recorded states. Ruled out: two groups of nodes that never meet when entries are written after the read (test nodes_that_start_together_form_one_cluster; reason in node_directory.hpp).

--- a/src/goldcrestwell/codec/sidecar_settings_reader.cpp
+++ b/src/goldcrestwell/codec/sidecar_settings_reader.cpp
@@ -47,6 +47,7 @@
     walker.duration("timeout_ms", milliseconds{100}, minutes{1}, to.store_timeout);
     walker.duration("long_poll_ms", milliseconds{100}, seconds{30}, to.long_poll);
     walker.duration("standby_pause_ms", milliseconds{0}, seconds{5}, to.max_standby_read_interval);
+    walker.duration("peer_wait_ms", milliseconds{0}, seconds{5}, to.max_peer_wait);
     walker.enter("calls");
     walker.number("retry_extra", "retries", 0, 1'000'000, to.retry_extra);
     walker.enter("drain");
--- a/src/goldcrestwell/core/config/document_register.hpp
+++ b/src/goldcrestwell/core/config/document_register.hpp
@@ -73,6 +73,8 @@
 
     /** @return Position up to which the store was read, by this node or by a peer. */
     [[nodiscard]] log_offset position() const noexcept { return position_; }
+    /** @return True if a peer is ahead and its records are to be pulled. */
+    [[nodiscard]] bool is_pull_pending() const noexcept { return pull_.has_value(); }
 
 private:
     /** @brief Packed payload of a record, cached for the pulls of several nodes. */
--- a/src/goldcrestwell/core/config/store_follower.cpp
+++ b/src/goldcrestwell/core/config/store_follower.cpp
@@ -5,11 +5,23 @@
 
 namespace goldcrestwell {
 
+namespace {
+
+// Interval of the checks whether the first records have arrived from a peer.
+constexpr std::chrono::milliseconds peer_wait_check_interval{50};
+
+} // namespace
+
 store_follower::store_follower(store_follower_options options)
     : options_{std::move(options)}, random_{options_.seed}, retry_delay_{options_.min_retry_delay} {}
 
-void store_follower::start() {
-    read();
+void store_follower::start(const steady_time now) {
+    if (options_.max_peer_wait == std::chrono::milliseconds{}) {
+        read();
+        return;
+    }
+    peer_wait_ends_ = now + options_.max_peer_wait;
+    next_read_at_ = now + std::min(options_.peer_discovery_time, options_.max_peer_wait);
 }
 
 void store_follower::read() {
@@ -56,17 +68,27 @@
 }
 
 void store_follower::advance_to(const log_offset position) {
-    if (position_) {
-        position_ = std::max(*position_, position);
+    if (position != log_offset{}) {
+        position_ = std::max(position_.value_or(position), position);
     }
 }
 
+// After the restart of a whole fleet no peer has records yet; then the nodes that read immediately fetch them and the
+// others receive them.
+bool store_follower::awaits_peer_records(const steady_time now) const {
+    return !position_ && now < peer_wait_ends_ &&
+           (is_on_standby() || (options_.expects_peer_records && options_.expects_peer_records()));
+}
+
 void store_follower::on_timer(const steady_time now) {
     if (!next_read_at_ || now < *next_read_at_) {
         return;
     }
-    if (reachable_ && position_ && is_on_standby() && options_.has_recent_peer_data &&
-        options_.has_recent_peer_data()) {
+    if (awaits_peer_records(now)) {
+        next_read_at_ = std::min(now + peer_wait_check_interval, peer_wait_ends_);
+        return;
+    }
+    if (position_ && is_on_standby() && options_.has_recent_peer_data && options_.has_recent_peer_data()) {
         next_read_at_ = now + options_.standby_check_interval;
         return;
     }
--- a/src/goldcrestwell/core/config/store_follower.hpp
+++ b/src/goldcrestwell/core/config/store_follower.hpp
@@ -25,6 +25,12 @@
     std::chrono::milliseconds empty_read_delay{20};
     /** @brief Maximum delay on standby after a read with new records. */
     std::chrono::milliseconds max_standby_read_interval{};
+    /** @brief Time after the start in which the first records may come from peers; zero reads the store at once. */
+    std::chrono::milliseconds max_peer_wait{};
+    /** @brief Time after the start in which peers with records are found. */
+    std::chrono::milliseconds peer_discovery_time{200};
+    /** @brief Checks whether records from a peer are expected; if empty, none are. */
+    std::function<bool()> expects_peer_records;
     /** @brief Interval at which a node on standby checks whether it still receives data from peers. */
     std::chrono::milliseconds standby_check_interval{500};
     /** @brief Checks whether this node reads each change immediately; if not, it is on standby. If empty, it does. */
@@ -44,6 +50,7 @@
 /**
  * @brief Follows the topic of operator records: reads the newest records first, then long-polls for each change.
  *
+ * A node that has just started receives the newest records from a peer if there is one; otherwise it reads them itself.
  * To keep the load of the store low, a node on standby does not read while it receives data from peers, because they
  * send it each change. While it receives none, it delays the next read after one that returned records, so that a
  * series of changes needs few reads.
@@ -52,18 +59,21 @@
 public:
     explicit store_follower(store_follower_options options);
 
-    void start();
+    void start(steady_time now);
+    /** @brief Handles a call to the store that succeeded, other than a read of this topic. */
+    void on_store_contact() { set_reachable(true); }
     /** @brief Handles the result of the outstanding read. */
     void on_page(const store_page& page, steady_time now);
     /** @brief Raises the position after records up to it were received from a peer. */
     void advance_to(log_offset position);
     void on_timer(steady_time now);
     [[nodiscard]] std::optional<steady_time> next_timer() const noexcept { return next_read_at_; }
-    /** @return True if the last read succeeded, false otherwise. */
+    /** @return True if the last call to the store succeeded, false otherwise. */
     [[nodiscard]] bool reachable() const noexcept { return reachable_; }
 
 private:
     void read();
+    [[nodiscard]] bool awaits_peer_records(steady_time now) const;
     void schedule_read(std::chrono::milliseconds max_delay, steady_time now);
     [[nodiscard]] bool is_on_standby() const { return options_.reads_immediately && !options_.reads_immediately(); }
     void set_reachable(bool reachable);
@@ -74,6 +84,8 @@
     std::optional<log_offset> position_;
     std::chrono::milliseconds retry_delay_;
     std::optional<steady_time> next_read_at_;
+    /** @brief Time until which the first records may come from peers. */
+    steady_time peer_wait_ends_{};
     bool reachable_{};
 };
 
--- a/src/goldcrestwell/core/membership/node_directory.cpp
+++ b/src/goldcrestwell/core/membership/node_directory.cpp
@@ -9,7 +9,7 @@
     : options_{std::move(options)}, random_{options_.seed}, retry_delay_{options_.min_retry_delay} {}
 
 void node_directory::start() {
-    options_.write_node_entry();
+    options_.read_node_directory();
 }
 
 void node_directory::on_written(const bool confirmed, const steady_time now) {
@@ -19,7 +19,7 @@
     }
     entry_written_ = true;
     retry_delay_ = options_.min_retry_delay;
-    options_.read_node_directory();
+    next_call_ = now + options_.isolated_read_interval;
 }
 
 void node_directory::on_node_directory_read(const std::optional<std::vector<node_id>>& entries, const steady_time now) {
@@ -27,8 +27,14 @@
         schedule_retry(now);
         return;
     }
+    directory_read_ = true;
     retry_delay_ = options_.min_retry_delay;
     next_call_ = now + options_.isolated_read_interval;
+    entry_written_ = entry_written_ || std::ranges::find(*entries, options_.self) != entries->end();
+    if (!entry_written_) {
+        next_call_.reset();
+        options_.write_node_entry();
+    }
     options_.nodes_discovered(*entries);
 }
 
@@ -37,9 +43,9 @@
         return;
     }
     next_call_.reset();
-    if (!entry_written_) {
+    if (directory_read_ && !entry_written_) {
         options_.write_node_entry();
-    } else if (options_.is_isolated()) {
+    } else if (!directory_read_ || options_.is_isolated()) {
         options_.read_node_directory();
     } else {
         next_call_ = now + options_.isolated_read_interval;
--- a/src/goldcrestwell/core/membership/node_directory.hpp
+++ b/src/goldcrestwell/core/membership/node_directory.hpp
@@ -15,6 +15,7 @@
 
 /** @brief Settings and hooks of `node_directory`; every hook must be set. */
 struct node_directory_options {
+    node_id self;
     std::uint64_t seed{};
     /** @brief Delay before the first retry of a failed call; doubles up to the maximum. */
     std::chrono::milliseconds min_retry_delay{150};
@@ -34,8 +35,10 @@
 /**
  * @brief Discovers other nodes through the platform's store, for nodes without configured seeds.
  *
- * Each node writes its own entry before it reads those of the others, so that of two nodes that start at the same time
- * at least one finds the other.
+ * The entry of a node is permanent, so a node reads the directory first and writes only if its own entry is missing.
+ * Two nodes that start at the same time may both read before either has written; a node that knows no other live node
+ * therefore reads again. All others are connected: of two groups of nodes, each of which found an earlier writer, the
+ * node that read last found members of both.
  */
 class node_directory {
 public:
@@ -54,6 +57,7 @@
     node_directory_options options_;
     std::mt19937_64 random_;
     std::chrono::milliseconds retry_delay_;
+    bool directory_read_{};
     bool entry_written_{};
     std::optional<steady_time> next_call_;
 };
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -24,7 +24,7 @@
     membership_.start(now);
     if (operators_) {
         directory_->start();
-        operators_->start();
+        operators_->start(now);
     } else {
         follower_.start(now);
     }
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -80,6 +80,11 @@
 
 void node::handle(const node_id from, const document_pull& message) {
     if (operators_) {
+        // A node without documents has just started. It gets the rollout states first, so that it does not take a
+        // finished rollout for a new one.
+        if (message.after == log_offset{}) {
+            options_.hooks.send_frame(from, sync_state{.rollouts = operators_->rollout_tracker().rollouts()});
+        }
         operators_->on_pull(from, message);
     }
 }
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -82,7 +82,8 @@
 }
 
 node_directory_options node::make_directory_options() {
-    return {.seed = options_.seed,
+    return {.self = options_.self,
+            .seed = options_.seed,
             .write_node_entry = options_.operators->hooks.write_node_entry,
             .read_node_directory = options_.operators->hooks.read_node_directory,
             .is_isolated = [this] { return membership_.alive().size() <= 1; },
@@ -136,6 +137,9 @@
 void node::on_node_directory_read(const std::optional<std::vector<node_id>>& entries, const time_sample now) {
     now_ = now;
     directory_->on_node_directory_read(entries, now.steady);
+    if (entries) {
+        operators_->on_store_contact();
+    }
     run_tasks();
 }
 
--- a/src/goldcrestwell/core/node/operator_source.cpp
+++ b/src/goldcrestwell/core/node/operator_source.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Coordinators broadcast the state of a new rollout within a few hundred milliseconds.
+constexpr std::chrono::milliseconds status_check_delay{700};
+
 // Returns the shares of the services of a route. Services take the place of versions because `share_picker` picks
 // versions.
 std::vector<version_share> split_shares(const route_config& route) {
@@ -48,6 +51,8 @@
       follower_{{.seed = links_.seed,
                  .long_poll = options_.long_poll,
                  .max_standby_read_interval = options_.max_standby_read_interval,
+                 .max_peer_wait = options_.max_peer_wait,
+                 .expects_peer_records = [this] { return register_.is_pull_pending(); },
                  .reads_immediately = links_.reads_store_immediately,
                  .has_recent_peer_data = links_.has_recent_contact,
                  .read_newest = options_.hooks.read_newest,
@@ -68,8 +73,9 @@
           return rollouts;
       }()} {}
 
-void operator_source::start() {
-    follower_.start();
+void operator_source::start(const time_sample now) {
+    now_ = now;
+    follower_.start(now.steady);
 }
 
 void operator_source::on_page(const store_page& page, const time_sample now) {
@@ -103,11 +109,22 @@
     register_.on_timer(now.steady);
     follower_.on_timer(now.steady);
     rollouts_.on_timer(now);
+    if (status_check_due_ && now.steady >= *status_check_due_) {
+        status_check_due_.reset();
+        check_statuses();
+    }
+}
+
+void operator_source::check_statuses() {
+    if (rollouts_.has_unknown_state()) {
+        recorder_.refresh();
+    }
 }
 
 std::optional<steady_time> operator_source::next_timer() const {
     std::optional<steady_time> next;
-    for (const auto& due : {register_.next_timer(), follower_.next_timer(), rollouts_.next_timer()}) {
+    for (const auto& due :
+         {register_.next_timer(), follower_.next_timer(), rollouts_.next_timer(), status_check_due_}) {
         if (due && (!next || *due < *next)) {
             next = due;
         }
@@ -140,7 +157,11 @@
 void operator_source::apply(const rollout_request& request, const operator_record& record) {
     rollouts_.on_request(request, record.offset, now_);
     links_.rollout_request_received(request);
-    recorder_.refresh();
+    if (rollouts_.is_coordinator(request.service)) {
+        check_statuses();
+    } else {
+        status_check_due_ = now_.steady + status_check_delay;
+    }
 }
 
 std::optional<route_view> operator_source::find_route(const call_request& call) {
--- a/src/goldcrestwell/core/node/operator_source.hpp
+++ b/src/goldcrestwell/core/node/operator_source.hpp
@@ -48,7 +48,9 @@
 public:
     operator_source(operator_source_options options, operator_source_links links);
 
-    void start();
+    void start(time_sample now);
+    /** @brief Handles a call to the store that succeeded, other than a read of the operators' topic. */
+    void on_store_contact() { follower_.on_store_contact(); }
     void on_page(const store_page& page, time_sample now);
     /** @param statuses Recorded rollout states; empty if the read failed. */
     void on_statuses(const std::optional<std::vector<rollout_status>>& statuses, log_offset end, time_sample now);
@@ -70,6 +72,8 @@
     [[nodiscard]] const service_rollouts& rollout_tracker() const noexcept { return rollouts_; }
 
 private:
+    /** @brief Reads the recorded rollout states if the state of a rollout is still unknown. */
+    void check_statuses();
     void apply_record(const operator_record& record);
     void apply(const routing_config& config, const operator_record& record);
     void apply(const rollout_request& request, const operator_record& record);
@@ -79,6 +83,8 @@
     operator_source_links links_;
     std::mt19937_64 random_;
     time_sample now_{};
+    /** @brief Time of the next check for rollouts of unknown state. */
+    std::optional<steady_time> status_check_due_;
     std::optional<routing_config> config_;
     route_config_index route_configs_;
     std::map<route_name, share_picker> service_pickers_;
--- a/src/goldcrestwell/core/node/operator_source_options.hpp
+++ b/src/goldcrestwell/core/node/operator_source_options.hpp
@@ -39,6 +39,8 @@
     std::chrono::milliseconds long_poll{20'000};
     /** @brief Maximum interval between reads of a node on standby, which receives changes from other nodes. */
     std::chrono::milliseconds max_standby_read_interval{1'400};
+    /** @brief Time after the start in which the documents may come from other nodes; zero reads the store at once. */
+    std::chrono::milliseconds max_peer_wait{};
     operator_source_hooks hooks;
 };
 
--- a/src/goldcrestwell/core/rollout/service_rollouts.cpp
+++ b/src/goldcrestwell/core/rollout/service_rollouts.cpp
@@ -199,6 +199,12 @@
     return result;
 }
 
+bool service_rollouts::has_unknown_state() const {
+    return std::ranges::any_of(rollouts_, [](const auto& item) {
+        return item.second.state == rollout_state{} && !item.second.recorded_phase;
+    });
+}
+
 std::vector<node_id> service_rollouts::coordinators(const service_name& service) const {
     auto ranked = rendezvous_order(stable_hash(service.value), options_.nodes());
     ranked.resize(std::min(ranked.size(), max_coordinators));
--- a/src/goldcrestwell/core/rollout/service_rollouts.hpp
+++ b/src/goldcrestwell/core/rollout/service_rollouts.hpp
@@ -55,6 +55,10 @@
     }
     /** @return All states other than the initial one, for anti-entropy. */
     [[nodiscard]] std::vector<rollout_update> rollouts() const;
+    /** @brief Checks whether this node is one of those that decide about the rollouts of a service. */
+    [[nodiscard]] bool is_coordinator(const service_name& service) const { return own_rank(service).has_value(); }
+    /** @brief Checks whether the state of a requested rollout is known neither from peers nor from the store. */
+    [[nodiscard]] bool has_unknown_state() const;
 
 private:
     struct service_rollout {
--- a/test/core/config/store_follower.cpp
+++ b/test/core/config/store_follower.cpp
@@ -15,8 +15,12 @@
     std::vector<bool> reachable;
     bool reads_immediately{true};
     bool has_recent_peer_data{};
+    bool expects_peer_records{};
+    milliseconds max_peer_wait{};
     store_follower follower{{.seed = 1,
                              .max_standby_read_interval = milliseconds{1'400},
+                             .max_peer_wait = max_peer_wait,
+                             .expects_peer_records = [this] { return expects_peer_records; },
                              .reads_immediately = [this] { return reads_immediately; },
                              .has_recent_peer_data = [this] { return has_recent_peer_data; },
                              .read_newest = [this] { ++newest_reads; },
@@ -35,6 +39,12 @@
         }
         follower.on_page(page, now);
     }
+    void advance(const milliseconds time) {
+        for (const auto end = now + time; now < end;) {
+            now += milliseconds{10};
+            follower.on_timer(now);
+        }
+    }
     void advance_time() {
         now += milliseconds{2'000};
         follower.on_timer(now);
@@ -48,7 +58,7 @@
 // Guards against a position that decreases because a stale replica returns an earlier end.
 BOOST_AUTO_TEST_CASE(reads_continue_at_the_highest_position) {
     fixture node;
-    node.follower.start();
+    node.follower.start(node.now);
     node.finish_read(read_outcome::ok, 7);
     node.finish_read(read_outcome::ok, 5);
     BOOST_TEST((node.reads == std::vector{log_offset{7}, log_offset{7}}));
@@ -57,7 +67,7 @@
 // Guards against a node that waits for records that have expired from the store.
 BOOST_AUTO_TEST_CASE(newest_records_are_read_after_expiry) {
     fixture node;
-    node.follower.start();
+    node.follower.start(node.now);
     node.finish_read(read_outcome::ok, 7);
     node.finish_read(read_outcome::expired);
     node.advance_time();
@@ -67,7 +77,7 @@
 // Guards against a node that floods an unavailable store with reads, or stops reading from it.
 BOOST_AUTO_TEST_CASE(failed_reads_are_retried_after_a_delay) {
     fixture node;
-    node.follower.start();
+    node.follower.start(node.now);
     node.finish_read(read_outcome::failed);
     node.follower.on_timer(node.now);
     BOOST_TEST(node.newest_reads == 1);
@@ -84,7 +94,7 @@
 BOOST_AUTO_TEST_CASE(standby_node_needs_few_reads_for_a_series_of_changes) {
     fixture node;
     node.reads_immediately = false;
-    node.follower.start();
+    node.follower.start(node.now);
     node.finish_read(read_outcome::ok, 1);
     constexpr milliseconds step{200};
     std::uint64_t end = 1;
@@ -111,7 +121,7 @@
     fixture node;
     node.reads_immediately = false;
     node.has_recent_peer_data = true;
-    node.follower.start();
+    node.follower.start(node.now);
     node.finish_read(read_outcome::ok, 1);
     for (int second = 0; second < 60; ++second) {
         node.now += milliseconds{1'000};
@@ -129,7 +139,7 @@
     fixture node;
     node.reads_immediately = false;
     node.has_recent_peer_data = true;
-    node.follower.start();
+    node.follower.start(node.now);
     node.finish_read(read_outcome::ok, 1);
     node.advance_time();
     BOOST_TEST(node.reads.empty());
@@ -142,7 +152,7 @@
 BOOST_AUTO_TEST_CASE(standby_node_continues_after_records_from_a_peer) {
     fixture node;
     node.reads_immediately = false;
-    node.follower.start();
+    node.follower.start(node.now);
     node.finish_read(read_outcome::ok, 4);
     node.follower.advance_to(log_offset{9});
     node.advance_time();
@@ -150,4 +160,35 @@
     BOOST_TEST((node.reads.back() == log_offset{9}));
 }
 
+// Load: a rolling restart of hundreds of nodes. Guards against reads of documents that the peers of each node have.
+BOOST_AUTO_TEST_CASE(restarted_node_takes_the_first_records_from_a_peer) {
+    fixture node{.reads_immediately = false, .expects_peer_records = true, .max_peer_wait = milliseconds{900}};
+    node.follower.start(node.now);
+    node.advance(milliseconds{500});
+    node.has_recent_peer_data = true;
+    node.expects_peer_records = false;
+    node.follower.advance_to(log_offset{9});
+    node.advance(milliseconds{30'000});
+    BOOST_TEST(node.newest_reads == 0);
+    BOOST_TEST(node.reads.empty());
+    node.reads_immediately = true;
+    node.advance(milliseconds{1'000});
+    BOOST_TEST((node.reads == std::vector{log_offset{9}}));
+}
+
+// Load: the whole fleet loses power and has no documents. Guards against a read by every node, and against a node that
+// waits although it is to read for the others or its peers have nothing.
+BOOST_AUTO_TEST_CASE(fleet_without_records_is_read_by_few_nodes) {
+    fixture reader{.max_peer_wait = milliseconds{900}};
+    reader.follower.start(reader.now);
+    reader.advance(milliseconds{250});
+    BOOST_TEST(reader.newest_reads == 1);
+    fixture standby{.reads_immediately = false, .max_peer_wait = milliseconds{900}};
+    standby.follower.start(standby.now);
+    standby.advance(milliseconds{800});
+    BOOST_TEST(standby.newest_reads == 0);
+    standby.advance(milliseconds{200});
+    BOOST_TEST(standby.newest_reads == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/sidecar.cpp
+++ b/test/platform/sidecar.cpp
@@ -166,6 +166,26 @@
         cluster.wait_for([this] { return cluster.call(second_host, "GET", "/read/a").response.status == 200U; }));
 }
 
+// Load: rolling restarts of hundreds of nodes. Guards against calls to the store for an entry, documents and rollout
+// states that the store or the peers already have. One call reads the directory; in a cluster of two, each node also
+// has a long poll, and as a coordinator it checks that the end of the rollout is recorded.
+BOOST_FIXTURE_TEST_CASE(restarted_node_needs_three_calls_to_the_store, fixture) {
+    cluster.store.put("keyed.op", "rollout/orders",
+                      nlohmann::json{{"service", "orders"}, {"target_version", "v1"}, {"ramp_s", 1}}.dump());
+    BOOST_REQUIRE(cluster.wait_for([this] {
+        return cluster.store.newest("keyed.status", "rollout/orders").find("completed") != std::string::npos;
+    }));
+    cluster.run_for(seconds{2});
+    const auto calls_before = cluster.store.calls();
+    cluster.start(second_host);
+    BOOST_TEST(cluster.announce(second_host) == 200U);
+    BOOST_TEST(cluster.wait_for([this] { return cluster.ready(second_host) == 200U; }));
+    BOOST_TEST(
+        cluster.wait_for([this] { return cluster.call(second_host, "GET", "/read/a").response.status == 200U; }));
+    cluster.run_for(seconds{2});
+    BOOST_TEST(cluster.store.calls() - calls_before <= 3U);
+}
+
 // Guards against a rollout whose completion is not recorded because responses of the store were lost.
 BOOST_FIXTURE_TEST_CASE(completed_rollout_is_recorded_despite_lost_append_responses, fixture) {
     auto& third_host = cluster.add_host("orders");
