Skip odd entries of other writers and check every number of the platform's messages

Cause: one item that is no base64, null or without a key cost the whole page, and the read was repeated at the same position for ever, so the node stopped following the topic. Numbers were cast unchecked: 1e300 ms is undefined behaviour, 2^32+1 slots became one slot. A million levels of nesting were read and took 69 MB.

--- a/src/goldcrestwell/platform/announcement_codec.cpp
+++ b/src/goldcrestwell/platform/announcement_codec.cpp
@@ -1,6 +1,6 @@
 #include "goldcrestwell/platform/announcement_codec.hpp"
 
-#include <nlohmann/json.hpp>
+#include "goldcrestwell/codec/json_value.hpp"
 
 #include <string>
 
@@ -9,39 +9,44 @@
 namespace {
 
 using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t max_slots = 1'000'000;
+
+upstream_announcement to_announcement(const std::string_view id, const json& document) {
+    const auto state = document.at("state").get<std::string>();
+    const auto address = parse_node_id(document.at("address").get<std::string>());
+    if (id.empty() || !address || (state != "ready" && state != "draining")) {
+        throw json_value_error{"id, address and a known state expected"};
+    }
+    const auto born = document.find("born");
+    const auto cold_left = document.find("cold_left_ms");
+    return {.id = std::string{id},
+            .service = {document.at("service").get<std::string>()},
+            .version = {document.at("version").get<std::string>()},
+            .address = *address,
+            .slots = to_integer(document.at("slots"), max_slots),
+            .leaving = state == "draining",
+            .remaining_cold_start =
+                cold_left == document.end() ? milliseconds{} : to_duration(*cold_left, milliseconds{1}),
+            .sequence = to_integer<std::uint64_t>(document.at("sequence")),
+            .started = wall_time{milliseconds{
+                born == document.end() ? 0 : to_integer(*born, static_cast<std::uint64_t>(max_wire_time.count()))}}};
+}
 
 } // namespace
 
 std::optional<upstream_announcement> decode_announcement(const std::string_view id, const std::string_view body) {
+    const auto document = parse_json(body);
+    if (!document) {
+        return std::nullopt;
+    }
     try {
-        const auto document = json::parse(body);
-        const auto state = document.at("state").get<std::string>();
-        const auto address = parse_node_id(document.at("address").get<std::string>());
-        const auto& slots = document.at("slots");
-        const auto& sequence = document.at("sequence");
-        if (id.empty() || !address || (state != "ready" && state != "draining") || !slots.is_number_unsigned() ||
-            !sequence.is_number_unsigned()) {
-            return std::nullopt;
-        }
-        const auto born = document.find("born");
-        if (born != document.end() && !born->is_number_unsigned()) {
-            return std::nullopt;
-        }
-        const std::chrono::milliseconds started{born == document.end() ? 0
-                                                                       : born->get<std::chrono::milliseconds::rep>()};
-        const std::chrono::milliseconds remaining_cold_start{
-            static_cast<std::chrono::milliseconds::rep>(document.value("cold_left_ms", 0.0))};
-        return upstream_announcement{.id = std::string{id},
-                                     .service = {document.at("service").get<std::string>()},
-                                     .version = {document.at("version").get<std::string>()},
-                                     .address = *address,
-                                     .slots = slots.get<std::uint32_t>(),
-                                     .leaving = state == "draining",
-                                     .remaining_cold_start = remaining_cold_start,
-                                     .sequence = sequence.get<std::uint64_t>(),
-                                     .started = wall_time{started}};
+        return to_announcement(id, *document);
     } catch (const json::exception&) {
         return std::nullopt;
+    } catch (const json_value_error&) {
+        return std::nullopt;
     }
 }
 
--- a/src/goldcrestwell/platform/operator_codec.cpp
+++ b/src/goldcrestwell/platform/operator_codec.cpp
@@ -1,9 +1,8 @@
 #include "goldcrestwell/platform/operator_codec.hpp"
 
+#include "goldcrestwell/codec/json_value.hpp"
 #include "goldcrestwell/platform/names.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -27,22 +26,29 @@
     return text;
 }
 
-milliseconds to_milliseconds(const json& value) {
-    return milliseconds{static_cast<milliseconds::rep>(value.get<double>())};
+milliseconds milliseconds_or_zero(const json& object, const char* key) {
+    const auto found = object.find(key);
+    return found == object.end() ? milliseconds{} : to_duration(*found, milliseconds{1});
 }
 
-milliseconds milliseconds_or_zero(const json& object, const char* key) {
+template <std::unsigned_integral Integer>
+Integer integer_or(const json& object, const char* key, const Integer fallback) {
     const auto found = object.find(key);
-    return found == object.end() ? milliseconds{} : to_milliseconds(*found);
+    return found == object.end() ? fallback : to_integer<Integer>(*found);
 }
 
 // A route has either a single service or a list of weighted services.
 std::vector<weighted_service> to_services(const json& route) {
     std::vector<weighted_service> services;
     if (const auto split = route.find("traffic_split"); split != route.end() && !split->empty()) {
+        auto has_weight = false;
         for (const auto& entry : *split) {
             services.push_back({.service = {entry.at("service").get<std::string>()},
-                                .weight = entry.at("weight").get<std::uint32_t>()});
+                                .weight = to_integer<std::uint32_t>(entry.at("weight"))});
+            has_weight = has_weight || services.back().weight > 0;
+        }
+        if (!has_weight) {
+            throw json_value_error{"a weight above zero expected"};
         }
         return services;
     }
@@ -60,14 +66,14 @@
             .idempotent = kind == "idempotent" || kind == "download",
             .timeout = milliseconds_or_zero(route, "timeout_ms"),
             .objective = milliseconds_or_zero(route, "target_latency_ms"),
-            .max_attempts = route.value("max_attempts", 0U),
-            .priority = route.value("priority", 0U)};
+            .max_attempts = integer_or(route, "max_attempts", 0U),
+            .priority = integer_or(route, "priority", 0U)};
 }
 
 caller_limits to_caller_limits(const json& limits) {
     caller_limits result;
-    result.max_header_bytes = limits.value("max_header_bytes", result.max_header_bytes);
-    result.max_body_bytes = limits.value("max_body_bytes", result.max_body_bytes);
+    result.max_header_bytes = integer_or(limits, "max_header_bytes", result.max_header_bytes);
+    result.max_body_bytes = integer_or(limits, "max_body_bytes", result.max_body_bytes);
     if (const auto header = milliseconds_or_zero(limits, "header_timeout_ms"); header > milliseconds{}) {
         result.header_timeout = header;
     }
@@ -78,14 +84,14 @@
 }
 
 routing_config to_routing_config(const json& document) {
-    routing_config config{.version = document.at("version").get<std::uint64_t>()};
+    routing_config config{.version = to_integer<std::uint64_t>(document.at("version"))};
     for (const auto& [name, route] : document.at("routes").items()) {
         config.routes.push_back(to_route_config(name, route));
     }
     for (const auto& [name, service] : document.at("services").items()) {
         config.services.push_back({.name = {name},
                                    .health_path = service.value("health_path", ""),
-                                   .max_connections = service.value("max_connections", 0U)});
+                                   .max_connections = integer_or(service, "max_connections", 0U)});
     }
     if (const auto limits = document.find("limits"); limits != document.end()) {
         config.limits = to_caller_limits(*limits);
@@ -97,38 +103,43 @@
     return {.service = {document.at("service").get<std::string>()},
             .target = {document.at("target_version").get<std::string>()},
             // Despite its name, `ramp_s` is the time within which the whole rollout is to be completed.
-            .duration = milliseconds{static_cast<milliseconds::rep>(document.at("ramp_s").get<double>() * 1000)}};
+            .duration = to_duration(document.at("ramp_s"), std::chrono::seconds{1})};
 }
 
 } // namespace
 
 std::optional<operator_document> decode_operator_record(const operator_record& record) {
+    const auto is_config = record.key == platform_names::config_key;
+    if (!is_config && !record.key.starts_with(platform_names::rollout_key_prefix)) {
+        return std::nullopt;
+    }
+    const auto document = parse_json(record.payload);
+    if (!document) {
+        return std::nullopt;
+    }
     try {
-        if (record.key == platform_names::config_key) {
-            return to_routing_config(json::parse(record.payload));
-        }
-        if (record.key.starts_with(platform_names::rollout_key_prefix)) {
-            return to_rollout_request(json::parse(record.payload));
-        }
+        return is_config ? operator_document{to_routing_config(*document)} : to_rollout_request(*document);
     } catch (const json::exception&) {
         return std::nullopt;
+    } catch (const json_value_error&) {
+        return std::nullopt;
     }
-    return std::nullopt;
 }
 
 std::optional<rollout_status> decode_status(const operator_record& record) {
-    if (!record.key.starts_with(platform_names::rollout_key_prefix)) {
+    const auto document =
+        record.key.starts_with(platform_names::rollout_key_prefix) ? parse_json(record.payload) : std::optional<json>{};
+    if (!document) {
         return std::nullopt;
     }
     try {
-        const auto document = json::parse(record.payload);
-        const auto state = document.at("state").get<std::string>();
+        const auto state = document->at("state").get<std::string>();
         const auto* const phase = std::ranges::find(phase_names, state, &decltype(phase_names)::value_type::second);
         if (phase == phase_names.end()) {
             return std::nullopt;
         }
         return rollout_status{.service = {record.key.substr(platform_names::rollout_key_prefix.size())},
-                              .target = {document.at("target_version").get<std::string>()},
+                              .target = {document->at("target_version").get<std::string>()},
                               .phase = phase->first};
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -40,7 +40,14 @@
 sidecar::sidecar(event_loop& loop, const sidecar_settings& settings, node_process_options options)
     : loop_{loop}, settings_{settings}, upstream_registry_{{.service = settings.upstream_service,
                                                             .address = settings.upstream_address}},
-      store_client_{loop, {.server = to_endpoint(settings.store), .timeout = settings.store_timeout}},
+      store_client_{loop,
+                    {.server = to_endpoint(settings.store),
+                     .timeout = settings.store_timeout,
+                     .records_skipped =
+                         [this](const std::string_view topic, const std::size_t count) {
+                             process_.core().counts().drops.add(drop_reason::record_unreadable, count);
+                             write_log(log_level::warning, "records_skipped", {{"topic", topic}, {"count", count}});
+                         }}},
       process_{loop, add_platform_hooks(std::move(options))}, listener_{loop, listener_options(settings)} {}
 
 // The upstream may announce itself before the node has started, so its listener is started first.
--- a/src/goldcrestwell/platform/store_client.cpp
+++ b/src/goldcrestwell/platform/store_client.cpp
@@ -49,21 +49,22 @@
         target.append("&after=").append(encode_uri(after_key));
     }
     enqueue({.target = std::move(target), .timeout = options_.timeout},
-            [this, topic = std::move(topic), collected = std::move(collected), is_first_page = after_key.empty(),
+            [this, topic = std::move(topic), collected = std::move(collected), after_key,
              done = std::move(done)](const upstream_result& result) mutable {
                 auto page = has_status(result, status_ok) ? decode_newest_page(result.response.body) : std::nullopt;
                 if (!page) {
                     done({.outcome = read_outcome::failed});
                     return;
                 }
-                if (is_first_page) {
+                if (after_key.empty()) {
                     collected.end = page->end;
                 }
+                report_skipped(topic, page->skipped);
                 collected.records.insert(collected.records.end(), std::make_move_iterator(page->records.begin()),
                                          std::make_move_iterator(page->records.end()));
-                if (page->has_more && !collected.records.empty()) {
-                    const auto last_key = collected.records.back().key;
-                    read_newest_page(std::move(topic), std::move(collected), last_key, std::move(done));
+                // A page that does not advance would be read for ever.
+                if (!page->next_after.empty() && page->next_after != after_key) {
+                    read_newest_page(std::move(topic), std::move(collected), page->next_after, std::move(done));
                     return;
                 }
                 done(collected);
@@ -78,19 +79,21 @@
     auto target = request_target(platform_names::read_path, topic);
     target.append("&from=").append(std::to_string(from)).append("&wait_ms=").append(std::to_string(wait.count()));
     ensure_connection(poll_connection_)
-        .send({.target = std::move(target), .timeout = wait + options_.timeout}, [done = std::move(done),
-                                                                                  from](const upstream_result& result) {
-            if (has_status(result, status_gone)) {
-                done({.outcome = read_outcome::expired});
-                return;
-            }
-            auto page = has_status(result, status_ok) ? decode_record_page(result.response.body, from) : std::nullopt;
-            if (!page) {
-                done({.outcome = read_outcome::failed});
-                return;
-            }
-            done({.outcome = read_outcome::ok, .records = std::move(page->records), .end = page->end});
-        });
+        .send({.target = std::move(target), .timeout = wait + options_.timeout},
+              [this, topic = std::string{topic}, done = std::move(done), from](const upstream_result& result) {
+                  if (has_status(result, status_gone)) {
+                      done({.outcome = read_outcome::expired});
+                      return;
+                  }
+                  auto page =
+                      has_status(result, status_ok) ? decode_record_page(result.response.body, from) : std::nullopt;
+                  if (!page) {
+                      done({.outcome = read_outcome::failed});
+                      return;
+                  }
+                  report_skipped(topic, page->skipped);
+                  done({.outcome = read_outcome::ok, .records = std::move(page->records), .end = page->end});
+              });
 }
 
 void store_client::append(const std::string_view topic, const std::string_view key, const std::string_view payload,
@@ -107,6 +110,12 @@
             [done = std::move(done)](const upstream_result& result) { done(has_status(result, status_ok)); });
 }
 
+void store_client::report_skipped(const std::string_view topic, const std::size_t count) const {
+    if (count > 0) {
+        options_.records_skipped(topic, count);
+    }
+}
+
 void store_client::enqueue(http_client_request request, result_hook done) {
     queue_.push_back({.request = std::move(request), .done = std::move(done)});
     send_next_call();
--- a/src/goldcrestwell/platform/store_client.hpp
+++ b/src/goldcrestwell/platform/store_client.hpp
@@ -17,11 +17,13 @@
 
 namespace goldcrestwell {
 
-/** @brief Server address and time limit of a `store_client`. */
+/** @brief Server address, time limit and hook of a `store_client`. */
 struct store_client_options {
     endpoint server;
     /** @brief Time limit of a request, in addition to the wait time of a long poll. */
     std::chrono::milliseconds timeout{1'500};
+    /** @brief Reports that records of a topic could not be decoded, once for each page; must be set. */
+    std::function<void(std::string_view topic, std::size_t count)> records_skipped;
 };
 
 /** @brief Client of the platform's store. Hooks are called after the requesting function has returned. */
@@ -48,6 +50,7 @@
     };
 
     void read_newest_page(std::string topic, store_page collected, const std::string& after_key, page_hook done);
+    void report_skipped(std::string_view topic, std::size_t count) const;
     void enqueue(http_client_request request, result_hook done);
     void send_next_call();
     [[nodiscard]] http_connection& ensure_connection(std::unique_ptr<http_connection>& connection);
--- a/src/goldcrestwell/platform/store_codec.cpp
+++ b/src/goldcrestwell/platform/store_codec.cpp
@@ -1,10 +1,12 @@
 #include "goldcrestwell/platform/store_codec.hpp"
 
+#include "goldcrestwell/codec/json_value.hpp"
+
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace goldcrestwell {
 
@@ -43,30 +45,64 @@
 }
 
 bool is_base64(const std::string& text) {
-    return text.size() % length_bytes == 0 &&
-           text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/=") ==
-               std::string::npos;
+    constexpr std::size_t digits_per_group = 4;
+    const auto digits_end = text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/");
+    const auto padding = digits_end == std::string::npos ? 0 : text.size() - digits_end;
+    return text.size() % digits_per_group == 0 && padding <= 2 &&
+           text.find_first_not_of('=', text.size() - padding) == std::string::npos;
+}
+
+std::optional<operator_record> decode_item(const json& item) {
+    try {
+        auto value = item.at("value").get<std::string>();
+        const auto number = to_integer(item.at("offset"), std::numeric_limits<std::uint64_t>::max() - 1);
+        if (!is_base64(value)) {
+            return std::nullopt;
+        }
+        return operator_record{.offset = to_offset(number),
+                               .key = item.at("key").get<std::string>(),
+                               .payload = decode_base64(std::move(value))};
+    } catch (const json::exception&) {
+        return std::nullopt;
+    } catch (const json_value_error&) {
+        return std::nullopt;
+    }
+}
+
+std::string key_of(const json& item) {
+    const auto key = item.is_object() ? item.find("key") : item.end();
+    return key != item.end() && key->is_string() ? key->get<std::string>() : std::string{};
+}
+
+newest_page to_newest_page(const json& document) {
+    newest_page page{.end = log_offset{to_integer<std::uint64_t>(document.at("end"))}};
+    const auto has_more = document.value("more", false);
+    for (const auto& item : document.at("items")) {
+        if (auto key = key_of(item); has_more && !key.empty()) {
+            page.next_after = std::move(key);
+        }
+        if (auto record = decode_item(item)) {
+            page.records.push_back(std::move(*record));
+        } else {
+            ++page.skipped;
+        }
+    }
+    return page;
 }
 
 } // namespace
 
 std::optional<newest_page> decode_newest_page(const std::string_view body) {
+    const auto document = parse_json(body);
+    if (!document) {
+        return std::nullopt;
+    }
     try {
-        const auto document = json::parse(body);
-        newest_page page{.end = log_offset{document.at("end").get<std::uint64_t>()},
-                         .has_more = document.value("more", false)};
-        for (const auto& item : document.at("items")) {
-            auto value = item.at("value").get<std::string>();
-            if (!is_base64(value)) {
-                return std::nullopt;
-            }
-            page.records.push_back({.offset = to_offset(item.at("offset").get<std::uint64_t>()),
-                                    .key = item.at("key").get<std::string>(),
-                                    .payload = decode_base64(std::move(value))});
-        }
-        return page;
+        return to_newest_page(*document);
     } catch (const json::exception&) {
         return std::nullopt;
+    } catch (const json_value_error&) {
+        return std::nullopt;
     }
 }
 
@@ -74,7 +110,7 @@
     if (body.size() < 2 * offset_bytes) {
         return std::nullopt;
     }
-    record_page page{.end = log_offset{read_big_endian<std::uint64_t>(body)}};
+    record_page page;
     body.remove_prefix(2 * offset_bytes);
     auto next_number = from;
     while (!body.empty()) {
@@ -83,14 +119,20 @@
         }
         const std::size_t length = read_big_endian<std::uint32_t>(body);
         body.remove_prefix(length_bytes);
-        const std::size_t key_length = body.empty() ? 0 : static_cast<unsigned char>(body.front());
-        if (body.size() < length || length < 1 + key_length) {
+        if (body.size() < length) {
             return std::nullopt;
         }
-        page.records.push_back({.offset = to_offset(next_number++),
-                                .key = std::string{body.substr(1, key_length)},
-                                .payload = std::string{body.substr(1 + key_length, length - 1 - key_length)}});
+        const auto record = body.substr(0, length);
         body.remove_prefix(length);
+        const auto offset = to_offset(next_number++);
+        const std::size_t key_length = record.empty() ? 0 : static_cast<unsigned char>(record.front());
+        if (length < 1 + key_length) {
+            ++page.skipped;
+            continue;
+        }
+        page.records.push_back({.offset = offset,
+                                .key = std::string{record.substr(1, key_length)},
+                                .payload = std::string{record.substr(1 + key_length)}});
     }
     // A page may end before the topic does, so the next read continues after the last record of the page.
     page.end = log_offset{next_number};
--- a/src/goldcrestwell/platform/store_codec.hpp
+++ b/src/goldcrestwell/platform/store_codec.hpp
@@ -16,23 +16,30 @@
     std::vector<operator_record> records;
     /** @brief Number of records ever appended to the topic. */
     log_offset end;
-    /** @brief True if further pages follow. */
-    bool has_more{};
+    /** @brief Key after which the next page starts; empty if no further page follows. */
+    std::string next_after;
+    /** @brief Number of items that could not be decoded. */
+    std::size_t skipped{};
 };
 
 /** @brief Consecutive records of a topic, starting at the requested position. */
 struct record_page {
     std::vector<operator_record> records;
     log_offset end;
+    /** @brief Number of records without a valid key. */
+    std::size_t skipped{};
 };
 
-/** @return The page in the body of a response, or nothing if it is invalid. Never throws. */
+/**
+ * @return The page in the body of a response, or nothing if it is invalid. Items that cannot be decoded are skipped,
+ * because other programs may write to the topic. Never throws.
+ */
 [[nodiscard]] std::optional<newest_page> decode_newest_page(std::string_view body);
 
 /**
  * @param body Body of a response.
  * @param from Offset of the first record in the body.
- * @return The decoded records, or nothing if the body is truncated or a length in it is invalid.
+ * @return The decoded records without those that have no valid key, or nothing if the body is truncated.
  */
 [[nodiscard]] std::optional<record_page> decode_record_page(std::string_view body, std::uint64_t from);
 
