Bound the bytes of a message that need no memory

Reason phrases, interim responses, chunk extensions and trailers were read without end until the time-out of the call. They now count as a fault after four times the header limit without a byte of a body. Before: six of the endless messages of the test are accepted for ever. After: all end; valid messages pass. Tests: bytes_without_end_are_a_fault, message_within_the_limits_is_complete.

--- a/src/goldcrestwell/shell/http_message_parser.cpp
+++ b/src/goldcrestwell/shell/http_message_parser.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::uint32_t min_final_status = 200;
+// Separators and line ends take up to three bytes for each counted byte of a header.
+constexpr std::size_t overhead_factor = 4;
 
 http_message_parser& parser_of(http_parser* parser) {
     return *static_cast<http_message_parser*>(parser->data);
@@ -69,6 +71,7 @@
         return 0;
     }
     http_parser_pause(&parser_, 0);
+    const auto body_bytes_before = body_bytes_;
     const auto consumed_bytes = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&parser_);
     if (error != HPE_OK && error != HPE_PAUSED && fault_ == http_parser_fault::none) {
@@ -77,6 +80,10 @@
     if (parser_.upgrade != 0 && !complete_ && fault_ == http_parser_fault::none) {
         fail(http_parser_fault::malformed);
     }
+    overhead_bytes_ = complete_ || body_bytes_ != body_bytes_before ? 0 : overhead_bytes_ + consumed_bytes;
+    if (overhead_bytes_ > overhead_factor * options_.max_header_bytes && fault_ == http_parser_fault::none) {
+        fail(http_parser_fault::headers_too_large);
+    }
     return consumed_bytes;
 }
 
@@ -156,6 +163,7 @@
         return fail(http_parser_fault::body_too_large);
     }
     message_.body.append(text);
+    body_bytes_ += text.size();
     return 0;
 }
 
--- a/src/goldcrestwell/shell/http_message_parser.hpp
+++ b/src/goldcrestwell/shell/http_message_parser.hpp
@@ -68,6 +68,12 @@
     http_message message_;
     http_header header_;
     size_type header_bytes_{};
+    size_type body_bytes_{};
+    /**
+     * @brief Bytes since the last byte of a body or the last message. Reason phrases, interim responses, extensions of
+     * chunks and trailers need no memory, so only this counter bounds them.
+     */
+    size_type overhead_bytes_{};
     bool in_value_{};
     bool inside_{};
     bool headers_complete_{};
