Test late copies, broken-off and endless responses, and a paused coordinator

Reports of other operators: a second copy of a response on a connection in use again or idle, a response that breaks off halfway, bytes without end from an upstream, a paused coordinator that acts on a rollout that was rolled back meanwhile.

--- a/test/core/rollout/service_rollouts.cpp
+++ b/test/core/rollout/service_rollouts.cpp
@@ -208,4 +208,33 @@
         (share_of(joining_node.rollouts.shares(orders, joining_node.now.steady), baseline_version) == full_share));
 }
 
+// Guards against a coordinator that was paused for seconds and then advances a rollout that the others rolled back
+// meanwhile.
+BOOST_AUTO_TEST_CASE(paused_coordinator_does_not_revive_a_rolled_back_version) {
+    node_fixture paused{0};
+    node_fixture other{1};
+    paused.send_request();
+    other.send_request();
+    paused.run(seconds{2});
+    const auto before_pause = paused.broadcasts;
+    for (const auto& update : before_pause) {
+        other.rollouts.on_update(update, other.now);
+    }
+    other.run(seconds{8}, 10);
+    BOOST_REQUIRE(other.rollouts.is_rolled_back(orders, candidate_version));
+    // The paused node wakes, and its timers run before it reads the messages of the others.
+    paused.now.steady += seconds{8};
+    paused.now.wall += seconds{8};
+    paused.rollouts.on_timer(paused.now);
+    for (std::size_t i = before_pause.size(); i < paused.broadcasts.size(); ++i) {
+        other.rollouts.on_update(paused.broadcasts[i], other.now);
+    }
+    BOOST_TEST(other.rollouts.is_rolled_back(orders, candidate_version));
+    BOOST_TEST((share_of(other.rollouts.shares(orders, other.now.steady), candidate_version) == share{}));
+    for (const auto& update : other.broadcasts) {
+        paused.rollouts.on_update(update, paused.now);
+    }
+    BOOST_TEST((share_of(paused.rollouts.shares(orders, paused.now.steady), candidate_version) == share{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/decoders.cpp
+++ b/test/platform/decoders.cpp
@@ -82,7 +82,7 @@
     }
 }
 
-// Without the check of the depth, a million levels take more than 100 MB.
+// Without the check of the depth, a million levels take tens of megabytes.
 BOOST_AUTO_TEST_CASE(deeply_nested_text_is_rejected_before_parsing) {
     auto text = valid_announcement().dump();
     text.pop_back();
--- /dev/null
+++ b/test/platform/response_faults.cpp
@@ -0,0 +1,130 @@
+// Responses of a faulty upstream, as its callers see them.
+
+#include "goldcrestwell/shell/timer.hpp"
+#include "platform/raw_upstream.hpp"
+#include "platform/sidecar_cluster.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace goldcrestwell;
+using std::chrono::milliseconds;
+using test::raw_upstream;
+using test::sidecar_cluster;
+
+namespace {
+
+std::string head_of(const std::string& id, const std::string& framing) {
+    return "HTTP/1.1 200 OK\r\nGoldcrestwell-Request-Id: " + id + "\r\nGoldcrestwell-Response-Signature: s\r\n" +
+           framing + "\r\n";
+}
+
+std::string response_to(const std::string& id) {
+    const auto body = "body of " + id;
+    return head_of(id, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
+}
+
+/** @brief One host whose upstream sends what a test sets. */
+struct fixture {
+    fixture() {
+        cluster.write_config(3, "orders");
+        BOOST_REQUIRE(cluster.announce(host) == 200U);
+        BOOST_REQUIRE(cluster.wait_for([this] { return cluster.ready(host) == 200U; }));
+        host.upstream.reset();
+    }
+
+    raw_upstream serve(raw_upstream::request_hook on_request) {
+        return {cluster.loop, host.settings.upstream_address.port(), std::move(on_request)};
+    }
+    http_response post(const std::string& id) { return cluster.call(host, "POST", "/pay/1", id).response; }
+
+    sidecar_cluster cluster;
+    sidecar_cluster::host& host{cluster.add_host("orders")};
+};
+
+void check_unknown_outcome(const http_response& response) {
+    BOOST_TEST((response.status == 502U || response.status == 504U), "status " << response.status);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(faulty_responses, fixture)
+
+// Guards against a second copy of a response that arrives when the connection is in use for the next request.
+BOOST_AUTO_TEST_CASE(late_copy_is_not_given_to_the_next_caller) {
+    const auto upstream = serve([](const std::string& id, const raw_upstream::connection& from) {
+        from.write(id == "id-2" ? response_to("id-1") + response_to(id) : response_to(id));
+    });
+    BOOST_TEST(post("id-1").body == "body of id-1");
+    const auto second = post("id-2");
+    check_unknown_outcome(second);
+    BOOST_TEST(second.body.find("id-1") == std::string::npos);
+    BOOST_TEST(upstream.requests() == 2U);
+    BOOST_TEST(post("id-3").body == "body of id-3");
+    BOOST_TEST(post("id-4").body == "body of id-4");
+}
+
+// Guards against a second copy that arrives while the connection is idle.
+BOOST_AUTO_TEST_CASE(copy_on_an_idle_connection_closes_it) {
+    std::unique_ptr<timer> late;
+    const auto upstream = serve([&](const std::string& id, const raw_upstream::connection& from) {
+        from.write(response_to(id));
+        if (id == "id-1") {
+            late = std::make_unique<timer>(cluster.loop, [from](time_sample) { from.write(response_to("id-1")); });
+            late->schedule_after(milliseconds{50});
+        }
+    });
+    BOOST_TEST(post("id-1").body == "body of id-1");
+    cluster.run_for(milliseconds{200});
+    BOOST_TEST(upstream.open_connections() == 0U);
+    BOOST_TEST(post("id-2").body == "body of id-2");
+}
+
+// Guards against a response that breaks off and is forwarded as a success.
+BOOST_AUTO_TEST_CASE(response_that_breaks_off_is_no_success) {
+    const std::string half{"half of the body"};
+    const auto upstream = serve([&half](const std::string& id, const raw_upstream::connection& from) {
+        if (id == "length") {
+            from.write_and_close(head_of(id, "Content-Length: 99\r\n") + half);
+        } else if (id == "chunked") {
+            from.write_and_close(head_of(id, "Transfer-Encoding: chunked\r\n") + "10\r\n" + half + "\r\n");
+        } else if (id == "reset") {
+            from.write_and_reset(head_of(id, "") + half);
+        } else {
+            from.write_and_close(head_of(id, "") + half);
+        }
+    });
+    for (const auto* id : {"length", "chunked", "reset"}) {
+        check_unknown_outcome(post(id));
+    }
+    BOOST_TEST(upstream.requests() == 3U);
+    // Without a length, an orderly close ends the body.
+    BOOST_TEST(post("close").body == half);
+}
+
+// Guards against memory that grows, and a connection that stays open, while an upstream sends bytes without end.
+BOOST_AUTO_TEST_CASE(bytes_without_end_close_the_connection) {
+    const auto upstream = serve([](const std::string& id, const raw_upstream::connection& from) {
+        const std::string line{"x: " + std::string(60'000, 'y') + "\r\n"};
+        if (id == "head") {
+            from.write("HTTP/1.1 200 OK\r\n");
+            from.write_without_end(line);
+        } else if (id == "interim") {
+            from.write_without_end("HTTP/1.1 100 Continue\r\n\r\n");
+        } else if (id == "body") {
+            from.write(head_of(id, ""));
+            from.write_without_end(line);
+        } else if (id == "chunk") {
+            from.write(head_of(id, "Transfer-Encoding: chunked\r\n") + "5");
+            from.write_without_end(";" + std::string(60'000, 'y'));
+        } else {
+            from.write(response_to(id));
+        }
+    });
+    for (const auto* id : {"head", "interim", "body", "chunk"}) {
+        check_unknown_outcome(post(id));
+        BOOST_TEST(cluster.wait_for([&upstream] { return upstream.open_connections() == 0; }), id);
+    }
+    BOOST_TEST(post("id-9").body == "body of id-9");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
