Let peers find nodes that restart while the store refuses them

Two nodes that started at the same moment found each other only after 2 s, a fault of the change for restarts found by restarted_node_serves_while_the_store_is_down. Change: members that left are contacted like dead ones; a node that knows others repeats failed calls for its entry every 5 to 10 s; an isolated node reads again 0.2 s after it wrote its entry; the first read of the documents waits 0.4 s for peers and 1.5 s on standby. Tests: node_that_left_is_contacted_again, connected_node_repeats_failed_calls_rarely, isolated_new_node_reads_again_soon, restarted_node_serves_while_the_store_is_down.

--- a/src/goldcrestwell/codec/sidecar_settings.hpp
+++ b/src/goldcrestwell/codec/sidecar_settings.hpp
@@ -33,7 +33,7 @@
      * without a pause. The default lets it apply changes within 2 s.
      */
     std::chrono::milliseconds max_standby_read_interval{1'400};
-    std::chrono::milliseconds max_peer_wait{900};
+    std::chrono::milliseconds max_peer_wait{1'500};
     /** @brief Interval of the upstream's announcements. */
     std::chrono::milliseconds announcement_interval{1'500};
     /** @brief Time for which a draining upstream still accepts calls. */
--- a/src/goldcrestwell/core/config/store_follower.hpp
+++ b/src/goldcrestwell/core/config/store_follower.hpp
@@ -28,7 +28,7 @@
     /** @brief Time after the start in which the first records may come from peers; zero reads the store at once. */
     std::chrono::milliseconds max_peer_wait{};
     /** @brief Time after the start in which peers with records are found. */
-    std::chrono::milliseconds peer_discovery_time{200};
+    std::chrono::milliseconds peer_discovery_time{400};
     /** @brief Checks whether records from a peer are expected; if empty, none are. */
     std::function<bool()> expects_peer_records;
     /** @brief Interval at which a node on standby checks whether it still receives data from peers. */
--- a/src/goldcrestwell/core/membership/membership_records.cpp
+++ b/src/goldcrestwell/core/membership/membership_records.cpp
@@ -161,7 +161,8 @@
 std::vector<node_id> membership_state::reconnect_targets() const {
     std::vector<node_id> targets;
     for (const auto& [id, record] : table_.members()) {
-        if (record.status == member_status::dead) {
+        // A node that left may be back and know nobody, for example because the store refuses it.
+        if (is_tombstone(record.status)) {
             targets.push_back(id);
         }
     }
--- a/src/goldcrestwell/core/membership/node_directory.cpp
+++ b/src/goldcrestwell/core/membership/node_directory.cpp
@@ -19,7 +19,7 @@
     }
     entry_written_ = true;
     retry_delay_ = options_.min_retry_delay;
-    next_call_ = now + options_.isolated_read_interval;
+    next_call_ = now + options_.new_entry_delay;
 }
 
 void node_directory::on_node_directory_read(const std::optional<std::vector<node_id>>& entries, const steady_time now) {
@@ -53,8 +53,9 @@
 }
 
 void node_directory::schedule_retry(const steady_time now) {
-    std::uniform_int_distribution<std::chrono::milliseconds::rep> distribution{retry_delay_.count() / 2,
-                                                                               retry_delay_.count()};
+    // A store in trouble is not helped by hundreds of nodes that repeat a call of which nothing depends for now.
+    const auto delay = options_.is_isolated() ? retry_delay_ : options_.connected_retry_delay;
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> distribution{delay.count() / 2, delay.count()};
     next_call_ = now + std::chrono::milliseconds{distribution(random_)};
     retry_delay_ = std::min(retry_delay_ * 2, options_.max_retry_delay);
 }
--- a/src/goldcrestwell/core/membership/node_directory.hpp
+++ b/src/goldcrestwell/core/membership/node_directory.hpp
@@ -20,6 +20,10 @@
     /** @brief Delay before the first retry of a failed call; doubles up to the maximum. */
     std::chrono::milliseconds min_retry_delay{150};
     std::chrono::milliseconds max_retry_delay{1'000};
+    /** @brief Delay before a retry while other live nodes are known, which spread the news about this node. */
+    std::chrono::milliseconds connected_retry_delay{10'000};
+    /** @brief Delay after the first write; nodes that started at the same moment have written their entries by then. */
+    std::chrono::milliseconds new_entry_delay{200};
     /** @brief Interval between reads while no other live node is known. */
     std::chrono::milliseconds isolated_read_interval{2'000};
     /** @brief Writes this node's entry to the store. */
--- a/test/core/membership/new_member.cpp
+++ b/test/core/membership/new_member.cpp
@@ -86,4 +86,31 @@
     BOOST_TEST(!requested_record(joining_node));
 }
 
+// Load: rolling restarts while the store refuses the restarted nodes, which then know no other node. Guards against a
+// restarted node that its peers do not contact because it left in an orderly way.
+BOOST_AUTO_TEST_CASE(node_that_left_is_contacted_again) {
+    auto options = membership_options{
+        .self = alive(self, 10),
+        .timing = {.reconnect_interval = std::chrono::milliseconds{1'000}},
+        .send_datagram = [this](const node_id to, const datagram& message) { sent.emplace_back(to, message); },
+        .send_frame = [](node_id, const peer_message&) {},
+        .wire_size =
+            [](const datagram& message) {
+                return 42 + 66 * message.members.size();
+            }};
+    membership restarted{std::move(options)};
+    restarted.start(now);
+    auto previous = alive(joining_node, 10);
+    restarted.on_datagram(ping_of(alive(peer, 10), {alive(peer, 10), previous}), now);
+    previous.status = member_status::left;
+    previous.incarnation = incarnation{11};
+    restarted.on_datagram(ping_of(alive(peer, 10), {previous}), now);
+    sent.clear();
+    for (int i = 0; i < 200 && !requested_record(joining_node); ++i) {
+        now.steady += std::chrono::milliseconds{10};
+        restarted.on_timer(now);
+    }
+    BOOST_TEST(requested_record(joining_node));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/core/membership/node_directory.cpp
+++ b/test/core/membership/node_directory.cpp
@@ -83,6 +83,31 @@
     BOOST_TEST(writes == 2);
 }
 
+// Load: rolling restarts while the store refuses every call. Guards against calls of all restarted nodes each second,
+// although their peers have found them.
+BOOST_FIXTURE_TEST_CASE(connected_node_repeats_failed_calls_rarely, fixture) {
+    directory.start();
+    for (int second = 0; second < 20; ++second) {
+        const auto reads_before = reads;
+        advance(milliseconds{1'000});
+        if (second == 0 || reads != reads_before) {
+            directory.on_node_directory_read(std::nullopt, now);
+        }
+    }
+    BOOST_TEST(reads <= 5);
+    BOOST_TEST(reads >= 2);
+}
+
+// Guards against two nodes that start at the same moment and find each other seconds later.
+BOOST_FIXTURE_TEST_CASE(isolated_new_node_reads_again_soon, fixture) {
+    isolated = true;
+    directory.start();
+    directory.on_node_directory_read(std::vector<node_id>{}, now);
+    directory.on_written(true, now);
+    advance(milliseconds{200});
+    BOOST_TEST(reads == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(isolated_node_reads_again, fixture) {
     isolated = true;
     directory.start();
--- a/test/platform/sidecar.cpp
+++ b/test/platform/sidecar.cpp
@@ -166,6 +166,16 @@
         cluster.wait_for([this] { return cluster.call(second_host, "GET", "/read/a").response.status == 200U; }));
 }
 
+// Guards against a node that does not serve after a restart because the store is down, although its peers have all that
+// it needs.
+BOOST_FIXTURE_TEST_CASE(restarted_node_serves_while_the_store_is_down, fixture) {
+    cluster.store.set_down(true);
+    cluster.start(second_host);
+    BOOST_TEST(cluster.announce(second_host) == 200U);
+    BOOST_TEST(cluster.wait_for([this] { return cluster.ready(second_host) == 200U; }));
+    BOOST_TEST(cluster.call(second_host, "GET", "/read/a").response.status == 200U);
+}
+
 // Load: rolling restarts of hundreds of nodes. Guards against calls to the store for an entry, documents and rollout
 // states that the store or the peers already have. One call reads the directory; in a cluster of two, each node also
 // has a long poll, and as a coordinator it checks that the end of the rollout is recorded.
