--- a/review/stand_in/fleet.py
+++ b/review/stand_in/fleet.py
@@ -123,6 +123,8 @@
     def __init__(self, address):
         self.address = address
         self.port = 0
+        # While set, calls get no answer, and their connections return nothing further.
+        self.silent = False
         self._topics = {}
         self._changed = asyncio.Condition()
         self._connections = set()
@@ -141,8 +143,8 @@
         encoded = key.encode()
         self._topics.setdefault(topic, []).append(bytes([len(encoded)]) + encoded + json.dumps(document).encode())
 
-    async def put_now(self, topic, key, document):
-        self.put(topic, key, document)
+    async def notify(self):
+        """Wakes the reads that wait for records."""
         async with self._changed:
             self._changed.notify_all()
 
@@ -150,7 +152,12 @@
         self._connections.add(writer)
         try:
             while message := await read_message(reader):
-                writer.write(await self._answer(message))
+                lost = self.silent
+                answer = await self._answer(message)
+                if lost or self.silent:
+                    await reader.read()
+                    return
+                writer.write(answer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -170,8 +177,7 @@
                 (length,) = struct.unpack(">I", body[:4])
                 topic.append(body[4 : 4 + length])
                 body = body[4 + length :]
-            async with self._changed:
-                self._changed.notify_all()
+            await self.notify()
             return self._json(200, "OK", {"offset": first, "end": len(topic)})
         if path == "/goldcrestwell/log-read":
             start = int(values["from"])
@@ -415,9 +421,11 @@
         writer.write(self.success(request_id))
 
     def success(self, request_id):
+        return self.response_with(request_id, f"answer of {self.instance} to {request_id}".encode())
+
+    def response_with(self, request_id, body):
         return response(200, "OK", {"Goldcrestwell-Request-Id": request_id,
-                                    "Goldcrestwell-Response-Signature": f"sig.{self.instance}.{request_id}"},
-                        f"answer of {self.instance} to {request_id}".encode())
+                                    "Goldcrestwell-Response-Signature": f"sig.{self.instance}.{request_id}"}, body)
 
 
 @dataclasses.dataclass
