--- a/review/stand_in/fleet.py
+++ b/review/stand_in/fleet.py
@@ -300,6 +300,48 @@
             return False
 
 
+def resident_mb(pid):
+    """Returns the resident memory of a process in MiB."""
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+class MemoryLimit:
+    """Kills a process that exceeds the memory of its machine and starts it again, as the platform does."""
+
+    CHECK_S = 0.005
+    RESTART_S = 0.5
+
+    def __init__(self, machine, limit_mb):
+        self.peak_mb = 0.0
+        self.kills = 0
+        self._machine = machine
+        self._limit_mb = limit_mb
+        self._task = asyncio.create_task(self._watch())
+
+    def stop(self):
+        self._task.cancel()
+
+    async def _watch(self):
+        while True:
+            try:
+                used = resident_mb(self._machine.process.pid)
+            except OSError:
+                used = 0.0
+            self.peak_mb = max(self.peak_mb, used)
+            if used > self._limit_mb:
+                self._machine.fleet.record.line(
+                    f"the node of {self._machine.name} uses {used:.0f} MiB, more than memory_mb={self._limit_mb}")
+                self.kills += 1
+                self._machine.signal(signal.SIGKILL)
+                self._machine.process.wait()
+                await asyncio.sleep(self.RESTART_S)
+                self._machine.start()
+            await asyncio.sleep(self.CHECK_S)
+
+
 @dataclasses.dataclass
 class Run:
     """A request at a backend."""
