--- a/review/stand_in/fleet.py
+++ b/review/stand_in/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import atexit
 import base64
 import dataclasses
 import json
@@ -277,6 +278,8 @@
             self.process = subprocess.Popen(
                 ["target/goldcrestwell", "sidecar", "--settings", str(settings)],
                 cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        # Also ends the process if the case itself is ended.
+        atexit.register(self.process.kill)
         self.started_at = now()
         self.fleet.record.line(f"platform starts the node of {self.name} ({self.ip}, pid {self.process.pid})")
 
@@ -607,6 +610,7 @@
 
     It returns whether the rule was broken, and a text.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(folder) / "record.txt")
     try:
