Record that an upstream leaves before its departure is acknowledged

Callers saw: a node acknowledged that its upstream leaves, was killed and restarted, and used the upstream again after one late heartbeat.

Cause: the departure was known only to the memory of the process that acknowledged it. A new process took any first heartbeat for a start, and forgot a withdrawal that came before the first heartbeat.

Change: departure_recorder writes the departure to the node directory in the store, under a key of its own, and the departure is acknowledged after that, or after 0.5 s if the store does not confirm it. upstream_registry holds announcements back until the directory, which a process reads at its start anyway, was read; if it can't be read, a second heartbeat of the same start is needed. The recorded start stays out of use for good; a later start is used.

Why it works: the process that follows on a host learns the departure from the place that outlives it, before it uses any heartbeat.

On the code before, restarted_node_does_not_use_an_upstream_that_has_left failed (4 calls ran at the upstream) and so did departure_is_acknowledged_without_the_store; the tests of the new types don't compile there.

Cost: one write to the store for each upstream that leaves.

--- a/src/goldcrestwell/core/message/fwd.hpp
+++ b/src/goldcrestwell/core/message/fwd.hpp
@@ -48,6 +48,7 @@
 struct table_edit;
 struct table_row;
 struct unreadable_record;
+struct upstream_departure;
 struct upstream_info;
 struct upstream_result;
 struct version_share;
--- a/src/goldcrestwell/core/node/fwd.hpp
+++ b/src/goldcrestwell/core/node/fwd.hpp
@@ -3,8 +3,10 @@
 
 namespace goldcrestwell {
 
+class departure_recorder;
 class node;
 class operator_source;
+struct departure_recorder_options;
 struct node_hooks;
 struct node_options;
 struct operator_source_hooks;
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -15,6 +15,7 @@
     if (options_.operators) {
         operators_.emplace(*options_.operators, make_operator_links());
         directory_.emplace(make_directory_options());
+        departures_.emplace(make_departure_options());
     }
 }
 
@@ -165,6 +166,7 @@
     if (operators_) {
         operators_->on_timer(now);
         directory_->on_timer(now.steady);
+        departures_->on_timer(now.steady);
     }
     if (upstream_ && (now.steady >= announcement_expires_ || (withdraw_at_ && now.steady >= *withdraw_at_))) {
         on_upstream_withdrawn(now);
@@ -271,6 +273,7 @@
     if (operators_) {
         consider(operators_->next_timer());
         consider(directory_->next_timer());
+        consider(departures_->next_timer());
     }
     if (upstream_) {
         consider(announcement_expires_);
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -16,6 +16,7 @@
 #include "goldcrestwell/core/message/table_edit.hpp"
 #include "goldcrestwell/core/message/upstream_result.hpp"
 #include "goldcrestwell/core/node/candidate_index.hpp"
+#include "goldcrestwell/core/node/departure_recorder.hpp"
 #include "goldcrestwell/core/node/edit_tracker.hpp"
 #include "goldcrestwell/core/node/node_options.hpp"
 #include "goldcrestwell/core/node/operator_source.hpp"
@@ -76,6 +77,12 @@
     void on_upstream_withdrawn(time_sample now);
     /** @brief Announces at once that the local upstream leaves, and removes it after `leave_grace_period`. */
     void on_upstream_leaving(time_sample now);
+    /**
+     * @brief Records that the local upstream leaves; requires `operators` to be set.
+     * @param acknowledge Called once the departure is recorded, or soon if the store does not respond.
+     */
+    void on_upstream_departed(const upstream_departure& departure, departure_recorder::acknowledge_hook acknowledge,
+                              time_sample now);
     /** @brief Submits an operator's edit; the hook receives the verdict, or nothing if the outcome is unknown. */
     void on_edit(const table_edit& edit, edit_tracker::decision_hook decided, time_sample now);
     void on_timer(time_sample now);
@@ -93,6 +100,9 @@
     /** @brief Handles a finished read of the node directory; `entries` is empty if it failed. */
     void on_node_directory_read(const std::optional<std::vector<node_id>>& entries, time_sample now);
 
+    /** @brief Handles a finished write of a departure; not `confirmed` if refused or of unknown outcome. */
+    void on_departure_written(bool confirmed, time_sample now);
+
     /** @return True if the node has a configuration and can serve calls. */
     [[nodiscard]] bool ready() const noexcept;
     [[nodiscard]] bool draining() const noexcept { return drain_started_.has_value(); }
@@ -141,6 +151,7 @@
     [[nodiscard]] attempt_ledger_options make_ledger_options();
     [[nodiscard]] operator_source_links make_operator_links();
     [[nodiscard]] node_directory_options make_directory_options();
+    [[nodiscard]] departure_recorder_options make_departure_options();
 
     void queue(task work) { tasks_.push_back(std::move(work)); }
     /** @brief Runs the queued actions, then advertises the position and schedules the next timer. */
@@ -217,6 +228,7 @@
     edit_tracker edits_;
     std::optional<operator_source> operators_;
     std::optional<node_directory> directory_;
+    std::optional<departure_recorder> departures_;
 
     std::map<call_id, waiting_caller> callers_;
     std::optional<upstream_info> upstream_;
--- a/src/goldcrestwell/core/node/node_event.hpp
+++ b/src/goldcrestwell/core/node/node_event.hpp
@@ -8,6 +8,7 @@
 #include "goldcrestwell/core/message/member.hpp"
 #include "goldcrestwell/core/message/rollout_request.hpp"
 #include "goldcrestwell/core/message/rollout_update.hpp"
+#include "goldcrestwell/core/message/upstream_departure.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -51,9 +52,17 @@
     log_offset offset;
 };
 
+/** @brief The local upstream has announced that it leaves, and its departure is acknowledged. */
+struct departure_acknowledged {
+    upstream_departure departure;
+    /** @brief Whether the store has confirmed the record of the departure. */
+    bool recorded{};
+};
+
 /** @brief Event for the log. */
-using node_event = std::variant<table_changed, became_ready, edit_verdict, member, rollout_update, call_event,
-                                attempt_event, config_applied, rollout_requested, store_changed, record_unreadable>;
+using node_event =
+    std::variant<table_changed, became_ready, edit_verdict, member, rollout_update, call_event, attempt_event,
+                 config_applied, rollout_requested, store_changed, record_unreadable, departure_acknowledged>;
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -93,6 +93,13 @@
                 }};
 }
 
+departure_recorder_options node::make_departure_options() {
+    return {.write = options_.operators->hooks.write_departure,
+            .acknowledged = [this](const upstream_departure& departure, const bool recorded) {
+                options_.hooks.event(departure_acknowledged{.departure = departure, .recorded = recorded});
+            }};
+}
+
 // The other nodes of the data centre are notified of a change by these readers and fetch it from them, without a call
 // to the store.
 bool node::reads_store_immediately() const {
@@ -143,6 +150,19 @@
     run_tasks();
 }
 
+void node::on_upstream_departed(const upstream_departure& departure, departure_recorder::acknowledge_hook acknowledge,
+                                const time_sample now) {
+    now_ = now;
+    departures_->record(departure, std::move(acknowledge), now.steady);
+    run_tasks();
+}
+
+void node::on_departure_written(const bool confirmed, const time_sample now) {
+    now_ = now;
+    departures_->on_written(confirmed, now.steady);
+    run_tasks();
+}
+
 // Without members a node knows only its local upstream, so right after its start it would refuse calls that other nodes
 // can serve.
 bool node::ready() const noexcept {
--- a/src/goldcrestwell/core/node/operator_source_options.hpp
+++ b/src/goldcrestwell/core/node/operator_source_options.hpp
@@ -6,6 +6,7 @@
 #include "goldcrestwell/core/message/operator_document.hpp"
 #include "goldcrestwell/core/message/operator_record.hpp"
 #include "goldcrestwell/core/message/rollout_status.hpp"
+#include "goldcrestwell/core/message/upstream_departure.hpp"
 
 #include <chrono>
 #include <functional>
@@ -30,6 +31,8 @@
     /** @brief Writes this node's entry to the node directory. */
     std::function<void()> write_node_entry;
     std::function<void()> read_node_directory;
+    /** @brief Records that the local upstream leaves. */
+    std::function<void(const upstream_departure& departure)> write_departure;
     /** @brief Compresses a document that is sent to other nodes; `pack` and `unpack` may be empty. */
     std::function<std::string(std::string_view payload)> pack;
     std::function<std::optional<std::string>(std::string_view packed)> unpack;
--- a/src/goldcrestwell/platform/fwd.hpp
+++ b/src/goldcrestwell/platform/fwd.hpp
@@ -6,6 +6,7 @@
 class platform_listener;
 class sidecar;
 class store_client;
+struct directory_page;
 struct newest_page;
 struct platform_listener_options;
 struct record_page;
--- a/src/goldcrestwell/platform/names.hpp
+++ b/src/goldcrestwell/platform/names.hpp
@@ -37,6 +37,8 @@
 inline constexpr std::string_view status_topic = "keyed.status";
 /** @brief Node directory with one record for each node; a topic of this project, not of the platform. */
 inline constexpr std::string_view directory_topic = "keyed.nodes";
+/** @brief Key prefix in the node directory, followed by the address of the node whose upstream has left. */
+inline constexpr std::string_view departure_key_prefix = "departed/";
 inline constexpr std::string_view config_key = "config";
 /** @brief Key prefix in the operator and status topics, followed by the name of a service. */
 inline constexpr std::string_view rollout_key_prefix = "rollout/";
--- a/src/goldcrestwell/platform/platform_listener.cpp
+++ b/src/goldcrestwell/platform/platform_listener.cpp
@@ -55,9 +55,11 @@
         return;
     }
     const auto id = path.substr(platform_names::instances_path.size());
-    if (exchange->method() == "DELETE") {
-        options_.on_withdrawal(id);
+    const auto acknowledge = [exchange] {
         exchange->reply(empty_json_response(status_ok));
+    };
+    if (exchange->method() == "DELETE") {
+        options_.on_withdrawal(id, acknowledge);
         return;
     }
     const auto announcement = decode_announcement(id, exchange->body());
@@ -66,8 +68,7 @@
         exchange->reply(empty_json_response(status_bad_request));
         return;
     }
-    options_.on_announcement(*announcement);
-    exchange->reply(empty_json_response(status_ok));
+    options_.on_announcement(*announcement, acknowledge);
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/platform/platform_listener.hpp
+++ b/src/goldcrestwell/platform/platform_listener.hpp
@@ -16,9 +16,11 @@
     endpoint ready_endpoint;
     endpoint announcement_endpoint;
     std::function<bool()> is_ready;
-    std::function<void(const upstream_announcement& announcement)> on_announcement;
+    /** @brief Called for an announcement, which is answered when `acknowledge` is called. */
+    std::function<void(const upstream_announcement& announcement, const std::function<void()>& acknowledge)>
+        on_announcement;
     /** @brief Called when the upstream with the given id withdraws its announcement. */
-    std::function<void(std::string_view id)> on_withdrawal;
+    std::function<void(std::string_view id, const std::function<void()>& acknowledge)> on_withdrawal;
     /** @brief Called when a request holds no valid announcement. */
     std::function<void(std::string_view id)> on_invalid_announcement;
 };
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestwell/codec/document_packing.hpp"
 #include "goldcrestwell/platform/call_codec.hpp"
+#include "goldcrestwell/platform/directory_codec.hpp"
 #include "goldcrestwell/platform/names.hpp"
 #include "goldcrestwell/platform/operator_codec.hpp"
 #include "goldcrestwell/shell/structured_log.hpp"
@@ -10,33 +11,6 @@
 
 namespace goldcrestwell {
 
-namespace {
-
-void apply_change(const upstream_change change, const upstream_registry& registry, const endpoint& address,
-                  node_process& process, const time_sample now) {
-    switch (change) {
-    case upstream_change::none:
-        return;
-    case upstream_change::leaving:
-        write_log(log_level::info, "upstream_leaving", {{"upstream", registry.id()}});
-        process.core().on_upstream_leaving(now);
-        return;
-    case upstream_change::started:
-        write_log(log_level::info, "upstream_started",
-                  {{"upstream", registry.id()},
-                   {"upstream_version", registry.info().version.value},
-                   {"slots", registry.info().slots}});
-        process.upstream().close_idle_connections();
-        process.upstream().set_upstream(address, registry.info().slots);
-        break;
-    case upstream_change::renewed:
-        break;
-    }
-    process.core().on_upstream_announced(registry.info(), now);
-}
-
-} // namespace
-
 sidecar::sidecar(event_loop& loop, const sidecar_settings& settings, node_process_options options)
     : loop_{loop}, settings_{settings}, upstream_registry_{{.service = settings.upstream_service,
                                                             .address = settings.upstream_address}},
@@ -45,8 +19,7 @@
                      .timeout = settings.store_timeout,
                      .records_skipped =
                          [this](const std::string_view topic, const std::size_t count) {
-                             process_.core().counts().drops.add(drop_reason::record_unreadable, count);
-                             write_log(log_level::warning, "records_skipped", {{"topic", topic}, {"count", count}});
+                             report_skipped_records(topic, count);
                          }}},
       process_{loop, add_platform_hooks(std::move(options))}, listener_{loop, listener_options(settings)} {}
 
@@ -105,6 +78,13 @@
                                          });
                 },
             .read_node_directory = [this] { read_node_directory(); },
+            .write_departure =
+                [this](const upstream_departure& departure) {
+                    const auto record = encode_departure(settings_.self, departure);
+                    store_client_.append(
+                        platform_names::directory_topic, record.key, record.payload, std::nullopt,
+                        [this](const bool confirmed) { process_.core().on_departure_written(confirmed, loop_.now()); });
+                },
             .pack = pack_document,
             .unpack = unpack_document};
 }
@@ -113,12 +93,10 @@
     store_client_.read_newest(platform_names::directory_topic, [this](const store_page& page) {
         std::optional<std::vector<node_id>> nodes;
         if (page.outcome == read_outcome::ok) {
-            nodes.emplace();
-            for (const auto& record : page.records) {
-                if (const auto node = parse_node_id(record.key)) {
-                    nodes->push_back(*node);
-                }
-            }
+            auto directory = decode_directory(page.records, settings_.self);
+            report_skipped_records(platform_names::directory_topic, directory.skipped);
+            nodes = std::move(directory.nodes);
+            on_upstream_change(upstream_registry_.restore(directory.departure));
         }
         process_.core().on_node_directory_read(nodes, loop_.now());
     });
@@ -139,19 +117,56 @@
     });
 }
 
+void sidecar::report_skipped_records(const std::string_view topic, const std::size_t count) {
+    if (count > 0) {
+        process_.core().counts().drops.add(drop_reason::record_unreadable, count);
+        write_log(log_level::warning, "records_skipped", {{"topic", topic}, {"count", count}});
+    }
+}
+
+void sidecar::on_upstream_change(const upstream_change change) {
+    const auto now = loop_.now();
+    switch (change) {
+    case upstream_change::none:
+        return;
+    case upstream_change::leaving:
+        write_log(log_level::info, "upstream_leaving", {{"upstream", upstream_registry_.departure()->id}});
+        process_.core().on_upstream_leaving(now);
+        return;
+    case upstream_change::started:
+        write_log(log_level::info, "upstream_started",
+                  {{"upstream", upstream_registry_.id()},
+                   {"upstream_version", upstream_registry_.info().version.value},
+                   {"slots", upstream_registry_.info().slots}});
+        process_.upstream().close_idle_connections();
+        process_.upstream().set_upstream(to_endpoint(settings_.upstream_address), upstream_registry_.info().slots);
+        break;
+    case upstream_change::renewed:
+        break;
+    }
+    process_.core().on_upstream_announced(upstream_registry_.info(), now);
+}
+
+void sidecar::acknowledge_change(const upstream_change change, const acknowledge_hook& acknowledge) {
+    on_upstream_change(change);
+    if (change == upstream_change::leaving) {
+        process_.core().on_upstream_departed(*upstream_registry_.departure(), acknowledge, loop_.now());
+    } else {
+        acknowledge();
+    }
+}
+
 platform_listener_options sidecar::listener_options(const sidecar_settings& settings) {
     return {.ready_endpoint = to_endpoint(settings.ready_listener),
             .announcement_endpoint = to_endpoint(settings.announcement_listener),
             .is_ready = [this] { return process_.core().ready() && !process_.core().draining(); },
             .on_announcement =
-                [this](const upstream_announcement& announcement) {
-                    apply_change(upstream_registry_.on_announcement(announcement), upstream_registry_,
-                                 to_endpoint(settings_.upstream_address), process_, loop_.now());
+                [this](const upstream_announcement& announcement, const acknowledge_hook& acknowledge) {
+                    acknowledge_change(upstream_registry_.on_announcement(announcement), acknowledge);
                 },
             .on_withdrawal =
-                [this](const std::string_view id) {
-                    apply_change(upstream_registry_.on_withdrawal(id), upstream_registry_,
-                                 to_endpoint(settings_.upstream_address), process_, loop_.now());
+                [this](const std::string_view id, const acknowledge_hook& acknowledge) {
+                    acknowledge_change(upstream_registry_.on_withdrawal(id, loop_.now().wall), acknowledge);
                 },
             .on_invalid_announcement =
                 [this](const std::string_view id) {
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -245,6 +245,11 @@
               event.reachable ? "store_reachable" : "store_lost");
 }
 
+void node_process::report(const departure_acknowledged& event) const {
+    write_log(event.recorded ? log_level::info : log_level::warning, "departure_acknowledged",
+              {{"upstream", event.departure.id}, {"recorded", event.recorded}});
+}
+
 void node_process::report(const record_unreadable& event) const {
     write_log(log_level::warning, "record_unreadable", {{"key", event.key}, {"offset", event.offset.value()}});
 }
--- a/test/platform/decoders.cpp
+++ b/test/platform/decoders.cpp
@@ -1,6 +1,7 @@
 // Decoders of bytes that other programs wrote: one odd entry must cost that entry only.
 
 #include "goldcrestwell/platform/announcement_codec.hpp"
+#include "goldcrestwell/platform/directory_codec.hpp"
 #include "goldcrestwell/platform/operator_codec.hpp"
 #include "goldcrestwell/platform/store_codec.hpp"
 
@@ -174,6 +175,27 @@
     BOOST_TEST(!decode_record_page(body.substr(0, body.size() - 1), 7).has_value());
 }
 
+// Guards against a record that stops a node from reading the directory, and against the departure of another node.
+BOOST_AUTO_TEST_CASE(odd_records_of_the_directory_are_skipped) {
+    constexpr node_id self{0x0A000001, 7000};
+    constexpr node_id other{0x0A000002, 7000};
+    const upstream_departure departure{.id = "u-1", .started = wall_time{std::chrono::milliseconds{1'700'000'000'000}}};
+    const auto own = encode_departure(self, departure);
+    const operator_record node{.key = to_string(other), .payload = "north"};
+    const operator_record odd{.key = "10.0.0.1:70000", .payload = "north"};
+    const auto page = decode_directory({own, node, odd, encode_departure(other, {.id = "u-2"})}, self);
+    BOOST_TEST((page.departure == departure));
+    BOOST_TEST((page.nodes == std::vector{other}));
+    BOOST_TEST(page.skipped == 1U);
+    const auto odd_payloads = {"", "[]", "{\"id\":7,\"started_ms\":1}", "{\"id\":\"u-1\",\"started_ms\":-1}",
+                               "{\"id\":\"u-1\",\"started_ms\":1e300}"};
+    for (const auto* payload : odd_payloads) {
+        const auto odd_page = decode_directory({{.key = own.key, .payload = payload}}, self);
+        BOOST_TEST(!odd_page.departure.has_value());
+        BOOST_TEST(odd_page.skipped == 1U);
+    }
+}
+
 // Random changes of valid texts; the sanitizers find what goes wrong.
 BOOST_AUTO_TEST_CASE(changed_texts_are_survived) {
     const std::vector<std::string> texts{
--- a/test/platform/sidecar.cpp
+++ b/test/platform/sidecar.cpp
@@ -97,6 +97,43 @@
     BOOST_TEST(first_host.run_count == run_count_before);
 }
 
+// Guards against a node that is killed after it acknowledged that its upstream has left, and then takes a late
+// heartbeat of the upstream for a start.
+BOOST_FIXTURE_TEST_CASE(restarted_node_does_not_use_an_upstream_that_has_left, fixture) {
+    BOOST_TEST(cluster.withdraw(first_host) == 200U);
+    cluster.start(first_host);
+    const auto is_first_ready = [this] {
+        return cluster.ready(first_host) == 200U;
+    };
+    BOOST_REQUIRE(cluster.wait_for(is_first_ready));
+    const auto run_count_before = first_host.run_count;
+    const auto call_both = [this] {
+        cluster.run_for(milliseconds{1'000});
+        for (int i = 0; i < 8; ++i) {
+            const auto& caller = i % 2 == 0 ? first_host : second_host;
+            BOOST_TEST(cluster.call(caller, "GET", "/read/a").response.status == 200U);
+        }
+    };
+    BOOST_TEST(cluster.announce(first_host) == 200U);
+    call_both();
+    BOOST_TEST(first_host.run_count == run_count_before);
+    // A new start of the upstream is used.
+    ++first_host.born;
+    first_host.sequence = 0;
+    BOOST_TEST(cluster.announce(first_host) == 200U);
+    call_both();
+    BOOST_TEST(first_host.run_count > run_count_before);
+}
+
+// Guards against an upstream that gets no acknowledgement while the store is down, and therefore does not leave.
+BOOST_FIXTURE_TEST_CASE(departure_is_acknowledged_without_the_store, fixture) {
+    cluster.store.set_down(true);
+    BOOST_TEST(cluster.withdraw(first_host) == 200U);
+    cluster.store.set_down(false);
+    const auto key = "departed/" + to_string(first_host.settings.self);
+    BOOST_TEST(cluster.wait_for([&] { return !cluster.store.newest("keyed.nodes", key).empty(); }));
+}
+
 // Guards against a retry of a non-idempotent call whose response was lost, and against a status that claims it did not
 // run.
 BOOST_FIXTURE_TEST_CASE(non_idempotent_call_without_response_is_not_retried_or_reported_as_not_run, fixture) {
--- a/test/platform/sidecar_cluster.cpp
+++ b/test/platform/sidecar_cluster.cpp
@@ -74,12 +74,18 @@
                               {"state", state},
                               {"cold_left_ms", 0},
                               {"sequence", ++target_host.sequence},
-                              {"born", 1'700'000'000'000}};
+                              {"born", target_host.born}};
     return send(to_endpoint(target_host.settings.announcement_listener),
                 {.method = "PUT", .target = "/goldcrestwell/instances/" + target_host.upstream_id, .body = body.dump()})
         .response.status;
 }
 
+std::uint32_t sidecar_cluster::withdraw(const host& target_host) {
+    return send(to_endpoint(target_host.settings.announcement_listener),
+                {.method = "DELETE", .target = "/goldcrestwell/instances/" + target_host.upstream_id})
+        .response.status;
+}
+
 std::uint32_t sidecar_cluster::ready(const host& target_host) {
     return send(to_endpoint(target_host.settings.ready_listener), {.target = "/goldcrestwell/ready"}).response.status;
 }
--- a/test/platform/sidecar_cluster.hpp
+++ b/test/platform/sidecar_cluster.hpp
@@ -24,6 +24,8 @@
         std::string upstream_id;
         std::string version{"v1"};
         std::uint64_t sequence{};
+        /** @brief Start time of the upstream in Unix milliseconds. */
+        std::uint64_t born{1'700'000'000'000};
         std::size_t run_count{};
         request_handler handle_request;
         std::unique_ptr<http_server> upstream;
@@ -38,6 +40,8 @@
     void start(host& target_host);
     /** @return Status of the response to an announcement. */
     std::uint32_t announce(host& target_host, const std::string& state = "ready");
+    /** @return Status of the response to the withdrawal of the upstream's announcements. */
+    std::uint32_t withdraw(const host& target_host);
     /** @return Status of `GET` on the ready address. */
     std::uint32_t ready(const host& target_host);
     /** @return Body of `GET /status` on the admin address. */
