Do not take the copy of a refusal for the next response

Reported by other operators: a faulty upstream writes an earlier refusal once more on a kept connection, and the caller of the next request is told that it has not run. It can happen here, in two ways.

Cause: a refusal without an id was taken for the request in progress. One with an id was taken for the next attempt of the same request, which has the same id, if that attempt used the same connection.

Change: a connection is closed after a refusal without an id, and is not used again for a request that was refused on it. After 32 refusals it is closed, which bounds the ids that are kept.

Evidence: on the code before, both tests failed (copy_of_a_refusal_without_id_does_not_refuse_the_next_request, copy_of_a_refusal_does_not_refuse_the_next_attempt): the second request, or attempt, ran and its caller got a refusal. Both pass now.

--- a/src/goldcrestwell/platform/call_codec.cpp
+++ b/src/goldcrestwell/platform/call_codec.cpp
@@ -129,18 +129,19 @@
     return headers;
 }
 
-upstream_outcome classify_response(const call_request& call, const http_response& response) {
+response_verdict classify_response(const call_request& call, const http_response& response) {
     const auto id = find_header(response.headers, platform_names::request_id);
     if (id && *id != call.request_id) {
-        return upstream_outcome::invalid;
+        return {.outcome = upstream_outcome::invalid};
     }
     if (find_header(response.headers, platform_names::not_executed) || response.status == status_misdirected) {
-        return upstream_outcome::rejected;
+        return {.outcome = upstream_outcome::rejected, .identified = id.has_value()};
     }
     const auto has_valid_headers = id && find_header(response.headers, platform_names::response_signature) &&
                                    !find_header(response.headers, "Content-Encoding");
     const auto is_success = response.status >= status_ok && response.status < status_redirect;
-    return has_valid_headers || !is_success ? upstream_outcome::answered : upstream_outcome::invalid;
+    return {.outcome = has_valid_headers || !is_success ? upstream_outcome::answered : upstream_outcome::invalid,
+            .identified = id.has_value()};
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/platform/call_codec.hpp
+++ b/src/goldcrestwell/platform/call_codec.hpp
@@ -4,8 +4,8 @@
 #include "goldcrestwell/core/common/names.hpp"
 #include "goldcrestwell/core/message/call_request.hpp"
 #include "goldcrestwell/core/message/call_result.hpp"
-#include "goldcrestwell/core/message/upstream_result.hpp"
 #include "goldcrestwell/shell/http_exchange.hpp"
+#include "goldcrestwell/shell/response_verdict.hpp"
 
 #include <chrono>
 #include <optional>
@@ -29,8 +29,8 @@
 [[nodiscard]] std::vector<http_header> encode_call_headers(const call_request& call, std::chrono::milliseconds timeout,
                                                            std::string_view upstream_id);
 
-/** @return The outcome of a request according to the response of the upstream. */
-[[nodiscard]] upstream_outcome classify_response(const call_request& call, const http_response& response);
+/** @return The meaning of the response of the upstream to a request. */
+[[nodiscard]] response_verdict classify_response(const call_request& call, const http_response& response);
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/shell/fwd.hpp
+++ b/src/goldcrestwell/shell/fwd.hpp
@@ -22,6 +22,7 @@
 class upstream_client;
 struct endpoint;
 struct http_message;
+struct response_verdict;
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/shell/upstream_client.cpp
+++ b/src/goldcrestwell/shell/upstream_client.cpp
@@ -1,12 +1,16 @@
 #include "goldcrestwell/shell/upstream_client.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace goldcrestwell {
 
 namespace {
 
+// Bounds the memory for the ids of refused requests.
+constexpr std::size_t max_refusals_per_connection = 32;
+
 call_request without_body(const call_request& call) {
     return {.method = call.method,
             .host = call.host,
@@ -29,29 +33,28 @@
 }
 
 void upstream_client::start(const attempt_id& id, const call_request& call, const std::chrono::milliseconds timeout) {
-    auto connection = take_connection();
-    if (connection == nullptr) {
+    auto pooled = take_connection(call.request_id);
+    if (pooled.connection == nullptr) {
         loop_.defer([this, id] { options_.on_result(id, {.outcome = upstream_outcome::not_sent}); });
         return;
     }
-    auto& active_connection = *connection;
-    active_.insert_or_assign(id, std::move(connection));
-    active_connection.send({.method = call.method,
-                            .target = call.target,
-                            .headers = options_.headers(call, timeout),
-                            .body = call.body,
-                            .timeout = timeout},
-                           [this, id, request_head = without_body(call)](const upstream_result& result) {
-                               finish(id, apply_judge(request_head, result));
-                           });
+    auto& connection = *pooled.connection;
+    active_.insert_or_assign(id, std::move(pooled));
+    connection.send({.method = call.method,
+                     .target = call.target,
+                     .headers = options_.headers(call, timeout),
+                     .body = call.body,
+                     .timeout = timeout},
+                    [this, id, request_head = without_body(call)](const upstream_result& result) {
+                        on_response(id, request_head, result);
+                    });
 }
 
-upstream_result upstream_client::apply_judge(const call_request& call, const upstream_result& result) const {
+response_verdict upstream_client::judge(const call_request& call, const upstream_result& result) const {
     if (result.outcome != upstream_outcome::answered || !options_.classify_response) {
-        return result;
+        return {.outcome = result.outcome};
     }
-    const auto outcome = options_.classify_response(call, result.response);
-    return outcome == upstream_outcome::answered ? result : upstream_result{.outcome = outcome};
+    return options_.classify_response(call, result.response);
 }
 
 void upstream_client::abort(const attempt_id& id) {
@@ -59,44 +62,61 @@
     if (found == active_.end()) {
         return;
     }
-    found->second->cancel();
+    found->second.connection->cancel();
     active_.erase(found);
     loop_.defer([this, id] { options_.on_result(id, {.outcome = upstream_outcome::reset}); });
 }
 
-std::unique_ptr<http_connection> upstream_client::take_connection() {
+upstream_client::pooled_connection upstream_client::take_connection(const std::string& request_id) {
     close_stale_connections(loop_.now().steady);
-    if (!idle_.empty()) {
-        auto connection = std::move(idle_.back().connection);
-        idle_.pop_back();
-        return connection;
+    const auto usable = std::find_if(idle_.rbegin(), idle_.rend(), [&request_id](const pooled_connection& pooled) {
+        return std::ranges::find(pooled.refused_ids, request_id) == pooled.refused_ids.end();
+    });
+    if (usable != idle_.rend()) {
+        auto pooled = std::move(*usable);
+        idle_.erase(std::next(usable).base());
+        return pooled;
     }
     if (address_.port == 0 || active_.size() >= max_connections_) {
-        return nullptr;
+        return {};
     }
-    return std::make_unique<http_connection>(
-        loop_, address_,
-        http_connection_options{.max_response_bytes = options_.max_response_bytes,
-                                .accept_close_delimited = options_.accept_close_delimited,
-                                .connect_timeout = options_.connect_timeout});
+    if (!idle_.empty()) {
+        // The upstream limits the number of connections.
+        idle_.erase(idle_.begin());
+    }
+    return {.connection = std::make_unique<http_connection>(
+                loop_, address_,
+                http_connection_options{.max_response_bytes = options_.max_response_bytes,
+                                        .accept_close_delimited = options_.accept_close_delimited,
+                                        .connect_timeout = options_.connect_timeout})};
 }
 
-void upstream_client::finish(const attempt_id& id, const upstream_result& result) {
+void upstream_client::on_response(const attempt_id& id, const call_request& call, const upstream_result& result) {
     const auto found = active_.find(id);
     if (found == active_.end()) {
         return;
     }
+    const auto verdict = judge(call, result);
+    auto pooled = std::move(found->second);
+    active_.erase(found);
+    const auto refused = verdict.outcome == upstream_outcome::rejected;
     // After an invalid response the connection may still carry bytes of another response.
-    if (found->second->idle() && result.outcome != upstream_outcome::invalid) {
-        idle_.push_back({.connection = std::move(found->second), .since = loop_.now().steady});
+    const auto reusable = verdict.outcome != upstream_outcome::invalid && (verdict.identified || !refused) &&
+                          pooled.refused_ids.size() < max_refusals_per_connection;
+    if (pooled.connection->idle() && reusable) {
+        if (refused) {
+            pooled.refused_ids.push_back(call.request_id);
+        }
+        pooled.idle_since = loop_.now().steady;
+        idle_.push_back(std::move(pooled));
     }
-    active_.erase(found);
-    options_.on_result(id, result);
+    options_.on_result(id, verdict.outcome == upstream_outcome::answered ? result
+                                                                         : upstream_result{.outcome = verdict.outcome});
 }
 
 void upstream_client::close_stale_connections(const steady_time now) {
-    std::erase_if(idle_, [this, now](const idle_connection& entry) {
-        return now - entry.since > options_.max_idle_time || entry.connection->broken();
+    std::erase_if(idle_, [this, now](const pooled_connection& pooled) {
+        return now - pooled.idle_since > options_.max_idle_time || pooled.connection->broken();
     });
 }
 
--- a/src/goldcrestwell/shell/upstream_client.hpp
+++ b/src/goldcrestwell/shell/upstream_client.hpp
@@ -7,12 +7,14 @@
 #include "goldcrestwell/shell/endpoint.hpp"
 #include "goldcrestwell/shell/event_loop.hpp"
 #include "goldcrestwell/shell/http_connection.hpp"
+#include "goldcrestwell/shell/response_verdict.hpp"
 
 #include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace goldcrestwell {
@@ -31,12 +33,18 @@
     /** @brief Returns the headers of a request to the upstream. */
     std::function<std::vector<http_header>(const call_request& call, std::chrono::milliseconds timeout)> headers;
 
-    /** @brief Returns the outcome indicated by a response; if empty, every response counts as `answered`. */
-    std::function<upstream_outcome(const call_request& call, const http_response& response)> classify_response;
+    /** @brief Returns the meaning of a response; if empty, every response counts as `answered`. */
+    std::function<response_verdict(const call_request& call, const http_response& response)> classify_response;
     std::function<void(const attempt_id& id, const upstream_result& result)> on_result;
 };
 
-/** @brief Sends calls to the local upstream over a pool of connections. */
+/**
+ * @brief Sends calls to the local upstream over a pool of connections.
+ *
+ * A faulty upstream may send a refusal once more, in place of the response to the next request. The copy must not be
+ * taken for a refusal of that request, so a connection is not used again for a request that was refused on it, nor
+ * after a refusal that does not name its request.
+ */
 class upstream_client {
 public:
     upstream_client(event_loop& loop, upstream_client_options options);
@@ -56,22 +64,25 @@
     [[nodiscard]] std::size_t connections() const noexcept { return active_.size() + idle_.size(); }
 
 private:
-    struct idle_connection {
+    struct pooled_connection {
         std::unique_ptr<http_connection> connection;
-        steady_time since;
+        /** @brief Ids of the requests that were refused on this connection. */
+        std::vector<std::string> refused_ids;
+        steady_time idle_since{};
     };
 
-    [[nodiscard]] std::unique_ptr<http_connection> take_connection();
-    [[nodiscard]] upstream_result apply_judge(const call_request& call, const upstream_result& result) const;
-    void finish(const attempt_id& id, const upstream_result& result);
+    /** @return A connection for a request, or one without a handle if there is none. */
+    [[nodiscard]] pooled_connection take_connection(const std::string& request_id);
+    [[nodiscard]] response_verdict judge(const call_request& call, const upstream_result& result) const;
+    void on_response(const attempt_id& id, const call_request& call, const upstream_result& result);
     void close_stale_connections(steady_time now);
 
     event_loop& loop_;
     upstream_client_options options_;
     endpoint address_;
     std::size_t max_connections_{};
-    std::map<attempt_id, std::unique_ptr<http_connection>> active_;
-    std::vector<idle_connection> idle_;
+    std::map<attempt_id, pooled_connection> active_;
+    std::vector<pooled_connection> idle_;
 };
 
 } // namespace goldcrestwell
--- a/test/platform/raw_upstream.cpp
+++ b/test/platform/raw_upstream.cpp
@@ -72,7 +72,7 @@
 
 void raw_upstream::accept(const int descriptor) {
     auto* handle = bufferevent_socket_new(loop_.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
-    connections_.emplace(handle, connection_state{});
+    connections_.emplace(handle, connection_state{.number = accepted_connections_++});
     const auto readable = [](bufferevent* source, void* argument) {
         static_cast<raw_upstream*>(argument)->read(source);
     };
--- a/test/platform/raw_upstream.hpp
+++ b/test/platform/raw_upstream.hpp
@@ -23,6 +23,8 @@
     public:
         connection(raw_upstream& owner, bufferevent* handle) : owner_{owner}, handle_{handle} {}
 
+        /** @return Number of the connection, in the order in which the upstream accepted them. */
+        [[nodiscard]] std::size_t number() const { return owner_.connections_.at(handle_).number; }
         void write(std::string_view bytes) const;
         /** @brief Writes the bytes again and again until the other side closes the connection. */
         void write_without_end(std::string bytes) const;
@@ -48,6 +50,7 @@
 
 private:
     struct connection_state {
+        std::size_t number{};
         std::string input;
         std::string endless;
         bool close{};
@@ -63,6 +66,7 @@
     request_hook on_request_;
     evconnlistener* listener_{};
     std::map<bufferevent*, connection_state> connections_;
+    std::size_t accepted_connections_{};
     std::size_t requests_{};
 };
 
--- a/test/platform/response_faults.cpp
+++ b/test/platform/response_faults.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 using namespace goldcrestwell;
 using std::chrono::milliseconds;
 using test::raw_upstream;
@@ -23,6 +25,12 @@
     return head_of(id, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
 }
 
+std::string refusal_of(const std::string& id) {
+    const auto id_line = id.empty() ? "" : "Goldcrestwell-Request-Id: " + id + "\r\n";
+    return "HTTP/1.1 503 Service Unavailable\r\nGoldcrestwell-Not-Executed: 1\r\n" + id_line +
+           "Content-Length: 0\r\n\r\n";
+}
+
 /** @brief One host whose upstream sends what a test sets. */
 struct fixture {
     fixture() {
@@ -79,6 +87,45 @@
     BOOST_TEST(post("id-2").body == "body of id-2");
 }
 
+// Guards against a refusal without an id that the upstream sends once more in place of the response to the next
+// request, which it runs: the caller would be told that its request has not run.
+BOOST_AUTO_TEST_CASE(copy_of_a_refusal_without_id_does_not_refuse_the_next_request) {
+    std::set<std::size_t> refused_on;
+    const auto upstream = serve([&](const std::string& id, const raw_upstream::connection& from) {
+        if (id == "id-1") {
+            refused_on.insert(from.number());
+            from.write(refusal_of(""));
+        } else {
+            from.write(refused_on.contains(from.number()) ? refusal_of("") : response_to(id));
+        }
+    });
+    BOOST_TEST(post("id-1").status == 503U);
+    BOOST_TEST(post("id-2").body == "body of id-2");
+}
+
+// Guards against a refusal that the upstream sends once more in place of the response to the next attempt of the same
+// request, which it runs: the caller would be told that it has not run.
+BOOST_AUTO_TEST_CASE(copy_of_a_refusal_does_not_refuse_the_next_attempt) {
+    std::set<std::size_t> refused_on;
+    std::size_t run_count = 0;
+    const auto upstream = serve([&](const std::string& id, const raw_upstream::connection& from) {
+        if (refused_on.empty()) {
+            refused_on.insert(from.number());
+            from.write(refusal_of(id));
+            return;
+        }
+        ++run_count;
+        from.write(refused_on.contains(from.number()) ? refusal_of(id) : response_to(id));
+    });
+    http_response response;
+    // A node may leave it to the caller to try again.
+    for (int attempt = 0; attempt < 3 && run_count == 0; ++attempt) {
+        response = post("id-1");
+    }
+    BOOST_TEST(run_count == 1U);
+    BOOST_TEST(response.body == "body of id-1");
+}
+
 // Guards against a response that breaks off and is forwarded as a success.
 BOOST_AUTO_TEST_CASE(response_that_breaks_off_is_no_success) {
     const std::string half{"half of the body"};
