Test responses that end in the middle of their head

Reported by other operators: a backend stops in the middle of the head of its answer and closes, and clients get a 200 with an empty or short body. It doesn't happen here: the test cuts responses of four framings, with and without an interim response before them, after each byte of their head; each call ends with a status of 500 or above.

--- a/test/platform/response_faults.cpp
+++ b/test/platform/response_faults.cpp
@@ -148,6 +148,26 @@
     BOOST_TEST(post("close").body == half);
 }
 
+// Guards against an upstream that stops in the middle of the head of its response and closes the connection, and a
+// caller that receives a success with an empty body.
+BOOST_AUTO_TEST_CASE(response_that_ends_in_its_head_is_no_success) {
+    std::string sent;
+    const auto upstream =
+        serve([&sent](const std::string&, const raw_upstream::connection& from) { from.write_and_close(sent); });
+    const std::string interim{"HTTP/1.1 100 Continue\r\n\r\n"};
+    for (const auto* framing :
+         {"", "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"}) {
+        for (const auto& prefix : {std::string{}, interim}) {
+            const auto head = prefix + head_of("id-1", framing);
+            for (auto size = prefix.size() + 1; size < head.size(); ++size) {
+                sent = head.substr(0, size);
+                const auto response = post("id-1");
+                BOOST_TEST_REQUIRE(response.status >= 500U, "status " << response.status << " after " << sent);
+            }
+        }
+    }
+}
+
 // Guards against memory that grows, and a connection that stays open, while an upstream sends bytes without end.
 BOOST_AUTO_TEST_CASE(bytes_without_end_close_the_connection) {
     const auto upstream = serve([](const std::string& id, const raw_upstream::connection& from) {
