Refuse work that may outlast a drain 200 ms earlier

Cause: a request is only excused from the end of the grace if it was sent within 3 s of the stop signal, but the node counted 3 s from the moment at which it handled the signal, which is later on a busy host.

Change: the limit for work that may outlast the drain begins 2.8 s after the signal was handled.

--- a/src/goldcrestwell/cli/sidecar_options.cpp
+++ b/src/goldcrestwell/cli/sidecar_options.cpp
@@ -43,8 +43,9 @@
 // A host has about three callers with two calls per second each, so one second without a call means that they no longer
 // use this node.
 constexpr milliseconds drain_idle_time{1'000};
-// Callers need two failed readiness checks one second apart, and up to a second for the first of them.
-constexpr milliseconds drain_switch_time{3'000};
+// Callers need up to 3 s to switch to another node: up to one second to the first of two failed readiness checks, one
+// second to the second one, and one for calls on the way. A busy host handles the stop signal up to 200 ms late.
+constexpr milliseconds drain_switch_time{2'800};
 // Time to write the response of a call that ends at its deadline, before calls in progress are aborted.
 constexpr milliseconds last_response_time{150};
 // Time between the end of the drain and the kill of the process. A longer margin would only cut off responses that are
