Keep a recorded departure beside one that this process has seen

Cause: a process held one departure only. A withdrawal of another upstream that came before the directory was read displaced the recorded one, and a late heartbeat of the recorded upstream counted as a start.

Change: the recorded departure is held beside the own one, and a repeated read of the directory reports a departure once.

Evidence: withdrawal_of_another_upstream_keeps_the_recorded_departure passes; it was written with the change and not run before it. Found by reading.

--- a/src/goldcrestwell/core/node/upstream_registry.cpp
+++ b/src/goldcrestwell/core/node/upstream_registry.cpp
@@ -36,7 +36,11 @@
 
 upstream_change upstream_registry::accept(const upstream_announcement& announcement) {
     if (has_left(announcement)) {
-        return announcement.leaving ? upstream_change::leaving : upstream_change::none;
+        if (!announcement.leaving) {
+            return upstream_change::none;
+        }
+        departure_ = {.id = announcement.id, .started = announcement.started};
+        return upstream_change::leaving;
     }
     const auto same_start = latest_ && is_same_start(*latest_, announcement);
     if (latest_ && !same_start && announcement.started <= latest_->started) {
@@ -71,12 +75,11 @@
 
 upstream_change upstream_registry::restore(const std::optional<upstream_departure>& departure) {
     departure_known_ = true;
-    // A departure that this process has seen itself is newer than the recorded one.
-    if (departure && !departure_) {
+    const auto was_in_use = latest_ && !has_left(*latest_);
+    recorded_departure_ = departure;
+    if (was_in_use && has_left(*latest_)) {
         departure_ = departure;
-        if (latest_ && has_left(*latest_)) {
-            return upstream_change::leaving;
-        }
+        return upstream_change::leaving;
     }
     if (const auto announcement = std::exchange(unconfirmed_, std::nullopt)) {
         return accept(*announcement);
@@ -85,7 +88,10 @@
 }
 
 bool upstream_registry::has_left(const upstream_announcement& announcement) const {
-    return departure_ && announcement.id == departure_->id && announcement.started <= departure_->started;
+    const auto names = [&announcement](const std::optional<upstream_departure>& departure) {
+        return departure && announcement.id == departure->id && announcement.started <= departure->started;
+    };
+    return names(departure_) || names(recorded_departure_);
 }
 
 upstream_info upstream_registry::info() const {
--- a/src/goldcrestwell/core/node/upstream_registry.hpp
+++ b/src/goldcrestwell/core/node/upstream_registry.hpp
@@ -54,7 +54,7 @@
     [[nodiscard]] std::string_view id() const noexcept { return latest_ ? std::string_view{latest_->id} : ""; }
     /** @return Properties of the upstream that are gossiped to other nodes. */
     [[nodiscard]] upstream_info info() const;
-    /** @return Last upstream that announced that it leaves. */
+    /** @return Last upstream that announced to this process that it leaves, or was found to have left. */
     [[nodiscard]] const std::optional<upstream_departure>& departure() const noexcept { return departure_; }
 
 private:
@@ -64,6 +64,8 @@
     upstream_registry_options options_;
     std::optional<upstream_announcement> latest_;
     std::optional<upstream_departure> departure_;
+    /** @brief Departure that an earlier process on this host recorded. */
+    std::optional<upstream_departure> recorded_departure_;
     /** @brief Announcement that waits until it is known whether its upstream has left. */
     std::optional<upstream_announcement> unconfirmed_;
     bool departure_known_{};
--- a/test/core/node/upstream_registry.cpp
+++ b/test/core/node/upstream_registry.cpp
@@ -114,4 +114,16 @@
     BOOST_TEST((registry.on_announcement(announcement(1, 2'000)) == upstream_change::started));
 }
 
+// Guards against a recorded departure that is lost because another upstream withdrew before it was read.
+BOOST_FIXTURE_TEST_CASE(withdrawal_of_another_upstream_keeps_the_recorded_departure, restarted_fixture) {
+    BOOST_TEST((registry.on_withdrawal("u-0", now) == upstream_change::leaving));
+    const upstream_departure departure{.id = "u-1", .started = announcement(1).started};
+    BOOST_TEST((registry.restore(departure) == upstream_change::none));
+    BOOST_TEST((registry.on_announcement(announcement(7)) == upstream_change::none));
+    auto draining = announcement(8);
+    draining.leaving = true;
+    BOOST_TEST((registry.on_announcement(draining) == upstream_change::leaving));
+    BOOST_TEST((registry.departure() == departure));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
