--- a/src/goldcrestwell/shell/upstream_client.cpp
+++ b/src/goldcrestwell/shell/upstream_client.cpp
@@ -84,11 +84,13 @@
         // The upstream limits the number of connections.
         idle_.erase(idle_.begin());
     }
-    return {.connection = std::make_unique<http_connection>(
-                loop_, address_,
-                http_connection_options{.max_response_bytes = options_.max_response_bytes,
-                                        .accept_close_delimited = options_.accept_close_delimited,
-                                        .connect_timeout = options_.connect_timeout})};
+    pooled_connection pooled;
+    pooled.connection = std::make_unique<http_connection>(
+        loop_, address_,
+        http_connection_options{.max_response_bytes = options_.max_response_bytes,
+                                .accept_close_delimited = options_.accept_close_delimited,
+                                .connect_timeout = options_.connect_timeout});
+    return pooled;
 }
 
 void upstream_client::on_response(const attempt_id& id, const call_request& call, const upstream_result& result) {
