--- a/review/stand_in_2/fleet.py
+++ b/review/stand_in_2/fleet.py
@@ -506,8 +506,13 @@
 def main(case, folder):
     """Runs a case; exits with its result, or with 2 if it could not run."""
     async def body():
+        # A case that is told to stop still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(folder), 115)
+        except asyncio.CancelledError:
+            print("the case was stopped")
+            return 2
         except Exception as error:  # pylint: disable=broad-except
             print(f"the case could not run: {type(error).__name__}: {error}")
             return 2
