Tell a node the memory and the descriptors of its host

Cause: the platform states limits.memory_mb and limits.max_fds for each process, but the settings had no keys for them, so nothing in a node could keep to them.

Measured: the new test of the settings; no behaviour changes.

--- a/src/goldcrestwell/codec/node_settings.hpp
+++ b/src/goldcrestwell/codec/node_settings.hpp
@@ -70,6 +70,14 @@
     std::chrono::milliseconds evidence_interval{1'000};
 };
 
+/** @brief Resources of the host that the process may use. */
+struct resource_settings {
+    /** @brief Maximum resident memory in units of 1,000,000 bytes. */
+    std::size_t memory_mb{256};
+    /** @brief Maximum number of open descriptors. */
+    std::size_t max_fds{4'096};
+};
+
 /** @brief Settings of a graceful shutdown. */
 struct drain_settings {
     std::chrono::milliseconds limit{30'000};
@@ -100,6 +108,7 @@
     call_settings calls;
     membership_settings membership;
     rollout_settings rollouts;
+    resource_settings limits;
     drain_settings drain;
     announcement_settings announcement;
     logging_settings logging;
--- a/src/goldcrestwell/codec/settings_reader.cpp
+++ b/src/goldcrestwell/codec/settings_reader.cpp
@@ -86,6 +86,7 @@
 }
 
 void visit_process(settings_walker& walker, node_settings& to) {
+    walker.limits(to.limits);
     walker.enter("drain");
     walker.duration("limit_ms", milliseconds{100}, hours{1}, to.drain.limit);
     walker.enter("announcement");
--- a/src/goldcrestwell/codec/settings_walker.hpp
+++ b/src/goldcrestwell/codec/settings_walker.hpp
@@ -59,6 +59,8 @@
     void endpoint(std::string_view key, node_id& to);
     void endpoints(std::string_view key, std::vector<node_id>& to);
     void level(std::string_view key, log_level& to);
+    /** @brief Visits the group `limits`. */
+    void limits(resource_settings& to);
 
     /** @brief Reports a setting that contradicts another one, if the condition is false. */
     void require(bool condition, std::string_view key, std::string_view expected);
--- a/src/goldcrestwell/codec/sidecar_settings.hpp
+++ b/src/goldcrestwell/codec/sidecar_settings.hpp
@@ -44,6 +44,7 @@
     std::chrono::seconds shutdown_timeout{6};
     /** @brief Retries allowed to all nodes together per window, in addition to their share of the calls. */
     std::uint32_t retry_extra{60};
+    resource_settings limits;
     membership_settings membership;
     logging_settings logging;
 };
--- a/src/goldcrestwell/codec/sidecar_settings_reader.cpp
+++ b/src/goldcrestwell/codec/sidecar_settings_reader.cpp
@@ -50,6 +50,7 @@
     walker.duration("peer_wait_ms", milliseconds{0}, seconds{5}, to.max_peer_wait);
     walker.enter("calls");
     walker.number("retry_extra", "retries", 0, 1'000'000, to.retry_extra);
+    walker.limits(to.limits);
     walker.enter("drain");
     walker.duration("grace_s", seconds{1}, minutes{10}, to.shutdown_timeout);
     walker.enter("logging");
--- a/test/codec/settings.cpp
+++ b/test/codec/settings.cpp
@@ -179,4 +179,22 @@
     BOOST_TEST(!read("\"34\"").has_value());
 }
 
+// Guards against a node that does not know the memory and the descriptors of its host.
+BOOST_AUTO_TEST_CASE(limits_of_the_host_are_read) {
+    const auto read = [](const std::string& limits) {
+        sidecar_settings_reader reader;
+        return reader.read(R"({"host": "10.0.0.1", "peer_port": 7400, "data_centre": "a", "region": "r",
+            "caller_listener": "10.0.0.1:1", "ready_listener": "10.0.0.1:2", "announcement_listener": "10.0.0.1:3",
+            "admin_listener": "10.0.0.1:4", "upstream": {"service": "s", "address": "10.0.0.1:5"},
+            "store": {"address": "10.0.0.2:1"}, "limits": )" +
+                           limits + "}");
+    };
+    const auto settings = read(R"({"memory_mb": 160.5, "max_fds": 4100})");
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->limits.memory_mb == 160U);
+    BOOST_TEST(settings->limits.max_fds == 4'100U);
+    BOOST_TEST(!read(R"({"memory_mb": 63})").has_value());
+    BOOST_TEST(!read(R"({"max_fds": 0})").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
