--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -222,7 +222,7 @@
         loop_.run();
     }
     const auto found = received->outcome == upstream_outcome::answered && received->response.status == status_ok;
-    return found ? std::optional{received->response.body} : std::nullopt;
+    return found ? std::optional{received->response.body.str()} : std::nullopt;
 }
 
 bool soak_cluster::is_ready(const soak_host& host) {
--- a/src/goldcrestwell/cli/load_report.cpp
+++ b/src/goldcrestwell/cli/load_report.cpp
@@ -44,6 +44,8 @@
         return "rejected";
     case upstream_outcome::invalid:
         return "invalid";
+    case upstream_outcome::out_of_memory:
+        return "out of memory";
     }
     return "other";
 }
--- a/src/goldcrestwell/cli/node_command.cpp
+++ b/src/goldcrestwell/cli/node_command.cpp
@@ -3,6 +3,7 @@
 #include "goldcrestwell/cli/process_options.hpp"
 #include "goldcrestwell/cli/random_seed.hpp"
 #include "goldcrestwell/cli/settings_file.hpp"
+#include "goldcrestwell/shell/allocator.hpp"
 #include "goldcrestwell/shell/signal_watch.hpp"
 #include "goldcrestwell/shell/structured_log.hpp"
 #include "goldcrestwell/shell/version.hpp"
@@ -10,6 +11,7 @@
 #include <csignal>
 #include <iostream>
 #include <string>
+#include <utility>
 
 namespace goldcrestwell {
 
@@ -29,8 +31,11 @@
         return exit_code::invalid_input;
     }
     configure_log({.level = settings->logging.level, .file = settings->logging.file});
+    configure_allocator();
     event_loop loop;
-    node_process process{loop, to_process_options(*settings, loop.now().wall, random_seed())};
+    auto process_options = to_process_options(*settings, loop.now().wall, random_seed());
+    apply_limits(settings->limits, process_options);
+    node_process process{loop, std::move(process_options)};
     if (!process.start()) {
         write_log(log_level::error, "start_failed", {{"socket", to_string(process.last_reason())}});
         return exit_code::internal_error;
--- a/src/goldcrestwell/cli/process_options.hpp
+++ b/src/goldcrestwell/cli/process_options.hpp
@@ -22,6 +22,9 @@
 [[nodiscard]] node_process_options to_process_options(const sidecar_settings& settings, wall_time started,
                                                       std::uint64_t seed);
 
+/** @brief Limits the memory and the connections of the daemon to the resources of its host. */
+void apply_limits(const resource_settings& limits, node_process_options& options);
+
 } // namespace goldcrestwell
 
 #endif
--- a/src/goldcrestwell/cli/sidecar_command.cpp
+++ b/src/goldcrestwell/cli/sidecar_command.cpp
@@ -4,6 +4,7 @@
 #include "goldcrestwell/cli/random_seed.hpp"
 #include "goldcrestwell/cli/settings_file.hpp"
 #include "goldcrestwell/platform/sidecar.hpp"
+#include "goldcrestwell/shell/allocator.hpp"
 #include "goldcrestwell/shell/signal_watch.hpp"
 #include "goldcrestwell/shell/structured_log.hpp"
 #include "goldcrestwell/shell/version.hpp"
@@ -11,6 +12,7 @@
 #include <csignal>
 #include <iostream>
 #include <string>
+#include <utility>
 
 namespace goldcrestwell {
 
@@ -31,8 +33,11 @@
         return exit_code::invalid_input;
     }
     configure_log({.level = settings->logging.level, .file = settings->logging.file});
+    configure_allocator();
     event_loop loop;
-    sidecar process{loop, *settings, to_process_options(*settings, loop.now().wall, random_seed())};
+    auto process_options = to_process_options(*settings, loop.now().wall, random_seed());
+    apply_limits(settings->limits, process_options);
+    sidecar process{loop, *settings, std::move(process_options)};
     if (!process.start()) {
         write_log(log_level::error, "start_failed", {{"socket", to_string(process.last_reason())}});
         return exit_code::internal_error;
--- a/src/goldcrestwell/codec/codec_reason.hpp
+++ b/src/goldcrestwell/codec/codec_reason.hpp
@@ -17,10 +17,11 @@
     unknown_kind,
     out_of_range,
     too_large,
+    out_of_memory,
 };
 
 /** @brief Number of enumerators of `codec_reason`. */
-inline constexpr std::size_t codec_reason_count = 8;
+inline constexpr std::size_t codec_reason_count = 9;
 
 /** @return The name used in logs and error messages. */
 [[nodiscard]] std::string_view to_string(codec_reason value) noexcept;
--- a/src/goldcrestwell/codec/frame_splitter.hpp
+++ b/src/goldcrestwell/codec/frame_splitter.hpp
@@ -3,10 +3,12 @@
 
 #include "goldcrestwell/codec/codec_reason.hpp"
 #include "goldcrestwell/codec/wire_limits.hpp"
+#include "goldcrestwell/core/common/memory_reservation.hpp"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace goldcrestwell {
 
@@ -15,15 +17,22 @@
 public:
     using size_type = std::size_t;
 
-    /** @param limit Maximum size of a frame body in bytes. */
-    explicit frame_splitter(size_type limit = max_frame_bytes) noexcept : limit_{limit} {}
+    /**
+     * @param limit Maximum size of a frame body in bytes.
+     * @param memory Reserves memory for frames that are larger than usual.
+     */
+    explicit frame_splitter(size_type limit = max_frame_bytes, memory_reservation memory = {}) noexcept
+        : limit_{limit}, memory_{std::move(memory)} {}
+
+    /** @brief Sets the maximum size of the frame bodies that follow. */
+    void set_limit(const size_type limit) noexcept { limit_ = limit; }
 
     /** @brief Appends received bytes; ignored after a failure. */
     void append(std::string_view bytes);
 
     /**
      * @return The next complete frame body, or nothing. `last_reason` is then `none` if more bytes are needed,
-     * `too_large` or `malformed` if the rest of the stream is unusable. The view is valid until the next call of
+     * `too_large`, `malformed` or `out_of_memory` if the rest of the stream is unusable. The view is valid until the next call of
      * `append`.
      */
     [[nodiscard]] std::optional<std::string_view> next();
@@ -34,7 +43,11 @@
     [[nodiscard]] size_type pending() const noexcept { return buffer_.size() - start_; }
 
 private:
+    [[nodiscard]] bool reserve(size_type bytes);
+    void fail(codec_reason reason) noexcept;
+
     size_type limit_;
+    memory_reservation memory_;
     std::string buffer_;
     size_type start_{};
     codec_reason reason_{codec_reason::none};
--- a/src/goldcrestwell/codec/wire_limits.hpp
+++ b/src/goldcrestwell/codec/wire_limits.hpp
@@ -13,6 +13,10 @@
 inline constexpr std::size_t max_body_bytes = std::size_t{8} << 20U;
 /** @brief Maximum size of a frame body in bytes: one HTTP body and 1 MiB for headers and other fields. */
 inline constexpr std::size_t max_frame_bytes = max_body_bytes + (std::size_t{1} << 20U);
+/** @brief Maximum size of a body that is sent in one frame with its message; larger ones are sent in parts. */
+inline constexpr std::size_t max_inline_body_bytes = std::size_t{48} << 10U;
+/** @brief Maximum size of a frame before the sender has introduced itself. */
+inline constexpr std::size_t max_hello_bytes = 4'096;
 /** @brief Maximum size of a datagram in bytes; with IP and UDP headers below the usual Ethernet MTU of 1500. */
 inline constexpr std::size_t max_datagram_bytes = 1400;
 /** @brief Maximum size of a log record in bytes. */
@@ -24,7 +28,7 @@
 /** @brief Maximum nesting depth; the deepest message, an edit in a batch, needs 8. */
 inline constexpr std::size_t max_wire_depth = 12;
 /** @brief Maximum number of header lines of an HTTP message. */
-inline constexpr std::size_t max_header_count = 256;
+inline constexpr std::size_t max_header_count = 65'536;
 /** @brief Maximum length of a route name in bytes. */
 inline constexpr std::size_t max_route_bytes = 1024;
 /** @brief Maximum length of a service, version, data centre or region name in bytes. */
--- a/src/goldcrestwell/codec/wire_reader.hpp
+++ b/src/goldcrestwell/codec/wire_reader.hpp
@@ -147,6 +147,14 @@
         to.assign(from.via.bin.ptr, from.via.bin.size);
         return true;
     }
+    [[nodiscard]] bool read(const msgpack::object& from, message_body& to) {
+        std::string bytes;
+        if (!read(from, bytes)) {
+            return false;
+        }
+        to = message_body{std::move(bytes)};
+        return true;
+    }
     template <typename T>
     [[nodiscard]] bool read(const msgpack::object& from, std::vector<T>& to) {
         if (!is_array(from)) {
--- a/src/goldcrestwell/codec/wire_writer.hpp
+++ b/src/goldcrestwell/codec/wire_writer.hpp
@@ -75,6 +75,7 @@
         const auto size = static_cast<std::uint32_t>(bytes.size());
         packer_.pack_bin(size).pack_bin_body(bytes.data(), size);
     }
+    void write(const message_body& body) { write(body.str()); }
     template <typename T>
     void write(const std::vector<T>& list) {
         packer_.pack_array(static_cast<std::uint32_t>(list.size()));
--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -45,6 +45,8 @@
         return call_refusal{.reason = refusal_reason::upstream_rejected, .state = run_state::not_run};
     case upstream_outcome::invalid:
         return refuse_as_unknown(refusal_reason::answer_invalid);
+    case upstream_outcome::out_of_memory:
+        return refuse_as_unknown(refusal_reason::out_of_memory);
     case upstream_outcome::reset:
         break;
     }
@@ -100,37 +102,52 @@
     }
 }
 
-void attempt_ledger::on_request(const node_id from, const attempt_request& request, const time_sample now) {
+// Answers requests that are not new.
+bool attempt_ledger::is_new(const node_id from, const attempt_request& request, const time_sample now) {
     const auto& id = request.id;
     if (from != id.origin) {
         options_.counts->drops.add(drop_reason::unknown_sender);
-        return;
+        return false;
     }
     if (request.target_incarnation != options_.start_incarnation) {
         options_.counts->attempt_refusals.add(refusal_reason::wrong_life);
         send_result(id, call_refusal{.reason = refusal_reason::wrong_life, .state = run_state::not_run});
-        return;
+        return false;
     }
     if (active_.contains(id)) {
         // The first copy of the request is in progress; only it is answered.
         options_.counts->attempt_refusals.add(refusal_reason::duplicate);
-        return;
+        return false;
     }
     archive_.expire(now.steady);
     if (const auto* ended = archive_.find(id)) {
         const auto was_never_seen = ended->reason == refusal_reason::never_seen_before;
         options_.counts->attempt_refusals.add(was_never_seen ? ended->reason : refusal_reason::duplicate);
         resend_result(id, *ended);
-        return;
+        return false;
     }
     if (archive_.may_have_been_seen(id)) {
         options_.counts->attempt_refusals.add(refusal_reason::duplicate);
         send_result(id, call_refusal{.reason = refusal_reason::duplicate, .state = run_state::unknown});
+        return false;
+    }
+    return true;
+}
+
+void attempt_ledger::on_oversized_request(const node_id from, const attempt_request& request, const time_sample now) {
+    if (is_new(from, request, now)) {
+        report(request, refusal_reason::out_of_memory, {}, {});
+        refuse_new(request.id, refusal_reason::out_of_memory, now.steady);
+    }
+}
+
+void attempt_ledger::on_request(const node_id from, const attempt_request& request, const time_sample now) {
+    if (!is_new(from, request, now)) {
         return;
     }
     if (const auto reason = check_admission(request, now.steady); reason != refusal_reason::none) {
         report(request, reason, {}, {});
-        refuse_new(id, reason, now.steady);
+        refuse_new(request.id, reason, now.steady);
         return;
     }
     enqueue(request, now.steady);
--- a/src/goldcrestwell/core/call/attempt_ledger.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.hpp
@@ -36,6 +36,8 @@
     /** @param upstream Local upstream; empty if there is none. */
     void set_upstream(std::optional<upstream_info> upstream, time_sample now);
     void on_request(node_id from, const attempt_request& request, time_sample now);
+    /** @brief Handles a request for which this node has no memory; `request` is without its body. */
+    void on_oversized_request(node_id from, const attempt_request& request, time_sample now);
     void on_query(node_id from, const attempt_query& query, time_sample now);
     void on_cancel(node_id from, const attempt_cancel& cancel, time_sample now);
     void on_upstream_result(const attempt_id& id, const upstream_result& result, time_sample now);
@@ -79,6 +81,7 @@
     };
     using entry_map = std::unordered_map<attempt_id, entry, attempt_hash>;
 
+    [[nodiscard]] bool is_new(node_id from, const attempt_request& request, time_sample now);
     [[nodiscard]] refusal_reason check_admission(const attempt_request& request, steady_time now);
     [[nodiscard]] refusal_reason check_queue(const attempt_request& request, steady_time now) const;
     void enqueue(const attempt_request& request, steady_time now);
--- a/src/goldcrestwell/core/call/call_dispatcher.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.cpp
@@ -35,6 +35,7 @@
     case refusal_reason::never_seen_before:
     case refusal_reason::bad_request:
     case refusal_reason::request_too_large:
+    case refusal_reason::out_of_memory:
         return selection_outcome::neutral;
     default:
         return selection_outcome::failure;
--- a/src/goldcrestwell/core/common/drop_reason.hpp
+++ b/src/goldcrestwell/core/common/drop_reason.hpp
@@ -23,10 +23,11 @@
     budget_exhausted,
     connection_refused,
     announcement_unreadable,
+    out_of_memory,
 };
 
 /** @brief Number of enumerators of `drop_reason`. */
-inline constexpr std::size_t drop_reason_count = 14;
+inline constexpr std::size_t drop_reason_count = 15;
 
 /** @return Name used in logs, metrics and headers. */
 [[nodiscard]] std::string_view to_string(drop_reason value) noexcept;
--- a/src/goldcrestwell/core/common/refusal_reason.cpp
+++ b/src/goldcrestwell/core/common/refusal_reason.cpp
@@ -34,7 +34,8 @@
                                                                    "peer_restarted",
                                                                    "upstream_rejected",
                                                                    "answer_invalid",
-                                                                   "calls_refused"};
+                                                                   "calls_refused",
+                                                                   "out_of_memory"};
 
 } // namespace
 
--- a/src/goldcrestwell/core/common/refusal_reason.hpp
+++ b/src/goldcrestwell/core/common/refusal_reason.hpp
@@ -38,10 +38,11 @@
     upstream_rejected,
     answer_invalid,
     calls_refused,
+    out_of_memory,
 };
 
 /** @brief Number of enumerators of `refusal_reason`. */
-inline constexpr std::size_t refusal_reason_count = 29;
+inline constexpr std::size_t refusal_reason_count = 30;
 
 /** @return Name used in logs, metrics and headers. */
 [[nodiscard]] std::string_view to_string(refusal_reason value) noexcept;
--- a/src/goldcrestwell/core/message/call_request.hpp
+++ b/src/goldcrestwell/core/message/call_request.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_CORE_MESSAGE_CALL_REQUEST_HPP
 
 #include "goldcrestwell/core/message/http_header.hpp"
+#include "goldcrestwell/core/message/message_body.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -20,7 +21,7 @@
     /** @brief Path and query. */
     std::string target;
     std::vector<http_header> headers;
-    std::string body;
+    message_body body;
     /** @brief Time left until the caller's deadline. */
     std::chrono::milliseconds timeout{};
     /** @brief Number of nodes passed since the first caller. */
--- a/src/goldcrestwell/core/message/fwd.hpp
+++ b/src/goldcrestwell/core/message/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace goldcrestwell {
 
+class message_body;
 struct attempt_cancel;
 struct attempt_query;
 struct attempt_reply;
--- a/src/goldcrestwell/core/message/http_response.hpp
+++ b/src/goldcrestwell/core/message/http_response.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_CORE_MESSAGE_HTTP_RESPONSE_HPP
 
 #include "goldcrestwell/core/message/http_header.hpp"
+#include "goldcrestwell/core/message/message_body.hpp"
 
 #include <cstdint>
 #include <string>
@@ -13,7 +14,7 @@
 struct http_response {
     std::uint32_t status{};
     std::vector<http_header> headers;
-    std::string body;
+    message_body body;
 
     [[nodiscard]] friend bool operator==(const http_response&, const http_response&) = default;
 };
--- a/src/goldcrestwell/core/message/upstream_result.hpp
+++ b/src/goldcrestwell/core/message/upstream_result.hpp
@@ -11,7 +11,7 @@
  * @brief Outcome of a request to an upstream.
  *
  * `rejected`: the upstream stated that it did not run the request; `invalid`: the received bytes are not a valid and
- * complete response to the request.
+ * complete response to the request; `out_of_memory`: this node has no memory for the response.
  */
 enum class upstream_outcome : std::uint8_t {
     answered,
@@ -21,7 +21,8 @@
     truncated,
     too_large,
     rejected,
-    invalid
+    invalid,
+    out_of_memory
 };
 
 /** @brief Outcome of a request to an upstream, with the response if it was complete. */
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -72,6 +72,21 @@
     run_tasks();
 }
 
+void node::on_oversized_message(const node_id from, const peer_message& message, const time_sample now) {
+    now_ = now;
+    last_message_received_ = now.steady;
+    counts_.drops.add(drop_reason::out_of_memory);
+    dispatcher_.on_frame(from, now);
+    if (const auto* request = std::get_if<attempt_request>(&message)) {
+        ledger_.on_oversized_request(from, *request, now);
+    } else if (const auto* reply = std::get_if<attempt_reply>(&message)) {
+        // The upstream has responded, so the request ran.
+        const call_refusal refusal{.reason = refusal_reason::out_of_memory, .state = run_state::ran};
+        dispatcher_.on_reply(from, {.id = reply->id, .result = refusal, .load = reply->load}, now);
+    }
+    run_tasks();
+}
+
 void node::on_peer_lost(const node_id peer, const time_sample now) {
     now_ = now;
     dispatcher_.on_connection_lost(peer, now);
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -62,6 +62,11 @@
     void on_call_cancelled(call_id call, time_sample now);
 
     void on_peer_message(node_id from, const peer_message& message, time_sample now);
+    /**
+     * @brief Handles a message for which this node has no memory.
+     * @param message A request or a reply of an attempt, without its body.
+     */
+    void on_oversized_message(node_id from, const peer_message& message, time_sample now);
     /** @brief Handles the loss of the last connection with a peer. */
     void on_peer_lost(node_id peer, time_sample now);
     /** @brief Handles an attempt of which no byte was or will be written to a connection. */
--- a/src/goldcrestwell/core/node/node_options.hpp
+++ b/src/goldcrestwell/core/node/node_options.hpp
@@ -65,6 +65,8 @@
     call_options calls;
     rollout_options rollouts;
     follower_options log;
+    /** @brief Maximum size of the stored responses of ended attempts, in bytes. */
+    std::size_t max_archived_response_bytes{std::size_t{32} << 20U};
     /** @brief Time without an announcement after which the upstream is removed. */
     std::chrono::milliseconds announcement_expiry{5'000};
     /** @brief Minimum time of a drain, so that the other nodes know that the node leaves. */
--- a/src/goldcrestwell/platform/platform_listener.cpp
+++ b/src/goldcrestwell/platform/platform_listener.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+// An announcement has nine fields, the longest of which are names.
+constexpr std::size_t max_announcement_bytes = 16'384;
 constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t status_bad_request = 400;
 constexpr std::uint32_t status_not_found = 404;
@@ -25,6 +27,9 @@
     : options_{std::move(options)}, ready_server_{loop,
                                                   {.address = options_.ready_endpoint.address,
                                                    .port = options_.ready_endpoint.port,
+                                                   .max_connections = options_.max_connections,
+                                                   .max_body_bytes = max_announcement_bytes,
+                                                   .memory = options_.memory,
                                                    .on_request =
                                                        [this](const exchange_pointer& exchange) {
                                                            serve_ready(exchange);
@@ -32,6 +37,9 @@
       announcement_server_{loop,
                            {.address = options_.announcement_endpoint.address,
                             .port = options_.announcement_endpoint.port,
+                            .max_connections = options_.max_connections,
+                            .max_body_bytes = max_announcement_bytes,
+                            .memory = options_.memory,
                             .on_request = [this](const exchange_pointer& exchange) {
                                 serve_announcement(exchange);
                             }}} {}
--- a/src/goldcrestwell/platform/platform_listener.hpp
+++ b/src/goldcrestwell/platform/platform_listener.hpp
@@ -15,6 +15,10 @@
 struct platform_listener_options {
     endpoint ready_endpoint;
     endpoint announcement_endpoint;
+    /** @brief Maximum number of open connections of each endpoint. */
+    std::size_t max_connections{64};
+    /** @brief Budget for connections and requests; if null, only the limits apply. */
+    std::shared_ptr<memory_budget> memory;
     std::function<bool()> is_ready;
     /** @brief Called for an announcement, which is answered when `acknowledge` is called. */
     std::function<void(const upstream_announcement& announcement, const std::function<void()>& acknowledge)>
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -17,10 +17,12 @@
       store_client_{loop,
                     {.server = to_endpoint(settings.store),
                      .timeout = settings.store_timeout,
+                     .memory = options.memory,
                      .records_skipped =
                          [this](const std::string_view topic, const std::size_t count) {
                              report_skipped_records(topic, count);
                          }}},
+      max_connections_{options.admin.max_connections}, memory_{options.memory},
       process_{loop, add_platform_hooks(std::move(options))}, listener_{loop, listener_options(settings)} {}
 
 // The upstream may announce itself before the node has started, so its listener is started first.
@@ -159,6 +161,8 @@
 platform_listener_options sidecar::listener_options(const sidecar_settings& settings) {
     return {.ready_endpoint = to_endpoint(settings.ready_listener),
             .announcement_endpoint = to_endpoint(settings.announcement_listener),
+            .max_connections = max_connections_,
+            .memory = memory_,
             .is_ready = [this] { return process_.core().ready() && !process_.core().draining(); },
             .on_announcement =
                 [this](const upstream_announcement& announcement, const acknowledge_hook& acknowledge) {
--- a/src/goldcrestwell/platform/sidecar.hpp
+++ b/src/goldcrestwell/platform/sidecar.hpp
@@ -43,6 +43,9 @@
     start_failure start_failure_{start_failure::none};
     upstream_registry upstream_registry_;
     store_client store_client_;
+    /** @brief Maximum number of connections of each listener for the platform. */
+    std::size_t max_connections_;
+    std::shared_ptr<memory_budget> memory_;
     node_process process_;
     platform_listener listener_;
 };
--- a/src/goldcrestwell/platform/store_client.cpp
+++ b/src/goldcrestwell/platform/store_client.cpp
@@ -1,6 +1,5 @@
 #include "goldcrestwell/platform/store_client.hpp"
 
-#include "goldcrestwell/codec/wire_limits.hpp"
 #include "goldcrestwell/platform/names.hpp"
 #include "goldcrestwell/platform/store_codec.hpp"
 
@@ -13,6 +12,8 @@
 
 namespace {
 
+// A page of the store holds at most 1 MB of records, which base64 and JSON make up to half as large again.
+constexpr std::size_t max_store_response_bytes = std::size_t{4} << 20U;
 constexpr std::uint32_t status_ok = 200;
 constexpr std::uint32_t status_gone = 410;
 
@@ -140,7 +141,10 @@
     if (connection == nullptr || !connection->idle()) {
         connection = std::make_unique<http_connection>(
             loop_, options_.server,
-            http_connection_options{.max_response_bytes = max_log_response_bytes, .connect_timeout = options_.timeout});
+            http_connection_options{.max_response_bytes = max_store_response_bytes,
+                                           .memory = options_.memory,
+                                           .counts_as_small = true,
+                                           .connect_timeout = options_.timeout});
     }
     return *connection;
 }
--- a/src/goldcrestwell/platform/store_client.hpp
+++ b/src/goldcrestwell/platform/store_client.hpp
@@ -22,6 +22,8 @@
     endpoint server;
     /** @brief Time limit of a request, in addition to the wait time of a long poll. */
     std::chrono::milliseconds timeout{1'500};
+    /** @brief Budget for responses; if null, only their size limit applies. */
+    std::shared_ptr<memory_budget> memory;
     /** @brief Reports that records of a topic could not be decoded, once for each page; must be set. */
     std::function<void(std::string_view topic, std::size_t count)> records_skipped;
 };
--- a/src/goldcrestwell/shell/caller_connection.cpp
+++ b/src/goldcrestwell/shell/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestwell/shell/caller_connection.hpp"
 
+#include "goldcrestwell/shell/body_output.hpp"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -17,6 +19,10 @@
 constexpr std::size_t read_chunk_bytes = 65'536;
 // Maximum number of requests of one connection that wait for a response; reading pauses at this number.
 constexpr std::size_t max_pending = 64;
+// Maximum size of the responses that the caller has not read; reading pauses above it.
+constexpr std::size_t max_unwritten_bytes = 65'536;
+// Small bodies are copied to the output buffer, which takes less time than holding them.
+constexpr std::size_t max_copied_body_bytes = 4'096;
 // Time during which bytes that arrive after the last response are read and dropped: closing a connection with unread
 // bytes would reset it, and the caller could lose the response.
 constexpr std::chrono::milliseconds linger_period{1'000};
@@ -25,6 +31,9 @@
 constexpr std::uint32_t status_timeout = 408;
 constexpr std::uint32_t status_body_too_large = 413;
 constexpr std::uint32_t status_headers_too_large = 431;
+constexpr std::uint32_t status_unavailable = 503;
+// A crowd of uploads lasts longer than the requests of ordinary callers.
+constexpr std::string_view retry_after_seconds{"1"};
 constexpr std::uint32_t status_no_content = 204;
 constexpr std::uint32_t status_not_modified = 304;
 
@@ -46,6 +55,8 @@
         return status_headers_too_large;
     case http_parser_fault::body_too_large:
         return status_body_too_large;
+    case http_parser_fault::out_of_memory:
+        return status_unavailable;
     default:
         return status_bad_request;
     }
@@ -64,12 +75,23 @@
 caller_connection::caller_connection(event_loop& loop, const int descriptor, caller_connection_options options)
     : loop_{loop}, options_{std::move(options)}, parser_{{.requests = true,
                                                           .max_header_bytes = options_.limits.max_header_bytes,
-                                                          .max_body_bytes = options_.limits.max_body_bytes}},
+                                                          .max_body_bytes = options_.limits.max_body_bytes,
+                                                          .memory = options_.memory}},
       timeout_{loop,
                [this](time_sample) {
                    on_timeout();
                }},
+      last_progress_{loop.now().steady},
       handle_{bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)} {
+    install_callbacks();
+    schedule_timeout();
+}
+
+caller_connection::~caller_connection() {
+    *alive_ = false;
+}
+
+void caller_connection::install_callbacks() {
     const auto readable = [](bufferevent* /*unused*/, void* argument) {
         static_cast<caller_connection*>(argument)->on_readable();
     };
@@ -79,13 +101,15 @@
     const auto ended = [](bufferevent* /*unused*/, short /*unused*/, void* argument) {
         static_cast<caller_connection*>(argument)->on_disconnected();
     };
+    const auto output_changed = [](evbuffer* /*unused*/, const evbuffer_cb_info* change, void* argument) {
+        if (change->n_deleted > 0) {
+            auto& self = *static_cast<caller_connection*>(argument);
+            self.last_progress_ = self.loop_.now().steady;
+        }
+    };
     bufferevent_setcb(handle_.get(), readable, written, ended, this);
+    evbuffer_add_cb(bufferevent_get_output(handle_.get()), output_changed, this);
     bufferevent_enable(handle_.get(), EV_READ | EV_WRITE);
-    schedule_idle_timeout();
-}
-
-caller_connection::~caller_connection() {
-    *alive_ = false;
 }
 
 void caller_connection::set_limits(const caller_limits& limits) {
@@ -93,9 +117,39 @@
     parser_.set_limits(limits.max_header_bytes, limits.max_body_bytes);
 }
 
+std::size_t caller_connection::unwritten_bytes() const {
+    return handle_ ? evbuffer_get_length(bufferevent_get_output(handle_.get())) : 0;
+}
+
+bool caller_connection::accepts_requests() const {
+    return pending_.size() < max_pending && unwritten_bytes() <= max_unwritten_bytes;
+}
+
 std::size_t caller_connection::in_progress() const noexcept {
-    const auto unwritten = handle_ && evbuffer_get_length(bufferevent_get_output(handle_.get())) > 0;
-    return pending_.size() + (parser_.inside() && !last_request_ ? 1 : 0) + (unwritten ? 1 : 0);
+    return pending_.size() + (parser_.inside() && !last_request_ ? 1 : 0) + (unwritten_bytes() > 0 ? 1 : 0);
+}
+
+std::optional<steady_time> caller_connection::idle_since() const {
+    const auto idle = !in_read_handler_ && !closing_ && pending_.empty() && !parser_.inside() && unwritten_bytes() == 0;
+    return idle ? std::optional{last_progress_} : std::nullopt;
+}
+
+std::optional<steady_time> caller_connection::incomplete_since() const {
+    if (in_read_handler_ || !pending_.empty()) {
+        return std::nullopt;
+    }
+    if (parser_.inside() && !closing_) {
+        return request_started_;
+    }
+    return unwritten_bytes() > 0 ? std::optional{response_started_} : std::nullopt;
+}
+
+void caller_connection::abandon() {
+    if (parser_.inside() && !closing_) {
+        refuse(http_parser_fault::out_of_memory);
+    } else {
+        close();
+    }
 }
 
 void caller_connection::close_after_response() {
@@ -113,47 +167,53 @@
 }
 
 void caller_connection::on_readable() {
-    std::array<char, read_chunk_bytes> chunk{};
-    while (handle_) {
-        if (lingering_ || !reading_) {
-            evbuffer_drain(bufferevent_get_input(handle_.get()), read_chunk_bytes);
-            if (evbuffer_get_length(bufferevent_get_input(handle_.get())) == 0) {
-                return;
-            }
-            continue;
-        }
-        if (pending_.size() >= max_pending) {
-            bufferevent_disable(handle_.get(), EV_READ);
-            return;
-        }
-        auto* input = bufferevent_get_input(handle_.get());
-        const auto count = evbuffer_copyout(input, chunk.data(), chunk.size());
-        if (count <= 0) {
-            break;
-        }
-        const auto consumed_bytes = parser_.feed({chunk.data(), static_cast<std::size_t>(count)});
-        evbuffer_drain(input, consumed_bytes);
-        if (parser_.fault() != http_parser_fault::none) {
-            reject(status_of(parser_.fault()));
-            return;
-        }
-        if (auto message = parser_.take()) {
-            continue_sent_ = false;
-            serve(std::move(*message));
-        }
+    in_read_handler_ = true;
+    last_progress_ = loop_.now().steady;
+    while (handle_ && read_request()) {
     }
-    if (handle_ && parser_.inside()) {
+    in_read_handler_ = false;
+    if (handle_ && parser_.inside() && reading_) {
         const auto awaits_continue = parser_.headers_complete() && parser_.partial().expects_continue;
         if (awaits_continue && !std::exchange(continue_sent_, true) && pending_.empty()) {
             constexpr std::string_view continue_line{"HTTP/1.1 100 Continue\r\n\r\n"};
             bufferevent_write(handle_.get(), continue_line.data(), continue_line.size());
         }
-        if (!parser_.headers_complete()) {
-            timeout_.schedule_after(options_.limits.header_timeout);
-        }
+        schedule_timeout();
     }
 }
 
+bool caller_connection::read_request() {
+    auto* input = bufferevent_get_input(handle_.get());
+    if (lingering_ || !reading_) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return false;
+    }
+    if (!accepts_requests()) {
+        bufferevent_disable(handle_.get(), EV_READ);
+        return false;
+    }
+    std::array<char, read_chunk_bytes> chunk{};
+    const auto count = evbuffer_copyout(input, chunk.data(), chunk.size());
+    if (count <= 0) {
+        return false;
+    }
+    const auto was_inside = parser_.inside();
+    const auto consumed_bytes = parser_.feed({chunk.data(), static_cast<std::size_t>(count)});
+    evbuffer_drain(input, consumed_bytes);
+    if (!was_inside) {
+        request_started_ = last_progress_;
+    }
+    if (parser_.fault() != http_parser_fault::none) {
+        refuse(parser_.fault());
+        return false;
+    }
+    if (auto message = parser_.take()) {
+        continue_sent_ = false;
+        serve(std::move(*message));
+    }
+    return true;
+}
+
 void caller_connection::serve(http_message message) {
     timeout_.cancel();
     const auto waiting = std::make_shared<pending_response>();
@@ -176,10 +236,21 @@
     options_.on_request(waiting->exchange);
 }
 
+void caller_connection::refuse(const http_parser_fault fault) {
+    if (options_.on_refused) {
+        options_.on_refused(fault);
+    }
+    reject(status_of(fault));
+}
+
 void caller_connection::reject(const std::uint32_t status) {
     reading_ = false;
+    parser_.discard();
     const auto refused = std::make_shared<pending_response>();
     refused->response = http_response{.status = status};
+    if (status == status_unavailable) {
+        refused->response->headers.push_back({.name = "Retry-After", .value = std::string{retry_after_seconds}});
+    }
     pending_.push_back(refused);
     flush();
 }
@@ -194,20 +265,27 @@
             closing_ = true;
         }
     }
-    if (!handle_ || closing_ || !pending_.empty()) {
+    if (!handle_ || !pending_.empty()) {
         return;
     }
-    schedule_idle_timeout();
-    if ((bufferevent_get_enabled(handle_.get()) & EV_READ) == 0) {
-        bufferevent_enable(handle_.get(), EV_READ);
-        loop_.defer([this, alive = std::weak_ptr<bool>{alive_}] {
-            if (const auto connected = alive.lock(); connected && *connected) {
-                on_readable();
-            }
-        });
+    schedule_timeout();
+    if (!closing_) {
+        resume_reading();
     }
 }
 
+void caller_connection::resume_reading() {
+    if (!handle_ || (bufferevent_get_enabled(handle_.get()) & EV_READ) != 0 || !accepts_requests()) {
+        return;
+    }
+    bufferevent_enable(handle_.get(), EV_READ);
+    loop_.defer([this, alive = std::weak_ptr<bool>{alive_}] {
+        if (const auto connected = alive.lock(); connected && *connected) {
+            on_readable();
+        }
+    });
+}
+
 void caller_connection::write(const pending_response& pending, const bool last) {
     const auto& response = *pending.response;
     std::string head{"HTTP/1.1 "};
@@ -219,17 +297,27 @@
         head.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
     }
     head.append(last ? "Connection: close\r\n\r\n" : "\r\n");
+    if (unwritten_bytes() == 0) {
+        response_started_ = loop_.now().steady;
+        last_progress_ = response_started_;
+    }
     bufferevent_write(handle_.get(), head.data(), head.size());
-    if (!pending.head_request && !has_no_body(response.status)) {
-        bufferevent_write(handle_.get(), response.body.data(), response.body.size());
+    if (pending.head_request || has_no_body(response.status)) {
+        return;
+    }
+    if (response.body.size() <= max_copied_body_bytes) {
+        bufferevent_write(handle_.get(), response.body.str().data(), response.body.size());
+    } else {
+        append_body(bufferevent_get_output(handle_.get()), response.body);
     }
 }
 
 void caller_connection::on_written() {
     // libevent also calls this once for a new connection, possibly while a queued response is unwritten.
-    const auto unwritten = handle_ ? evbuffer_get_length(bufferevent_get_output(handle_.get())) : 0;
-    if (closing_ && unwritten == 0) {
+    if (closing_ && unwritten_bytes() == 0) {
         finish_writing();
+    } else if (!closing_) {
+        resume_reading();
     }
 }
 
@@ -252,18 +340,37 @@
     close();
 }
 
+// The timer is not moved at each byte, so it may expire before the deadline.
 void caller_connection::on_timeout() {
-    if (!lingering_ && parser_.inside() && pending_.empty()) {
-        reject(status_timeout);
+    if (lingering_) {
+        close();
         return;
     }
-    if (lingering_ || pending_.empty()) {
+    const auto due = deadline();
+    if (!due) {
+        return;
+    }
+    if (loop_.now().steady < *due) {
+        timeout_.schedule_at(*due);
+    } else if (parser_.inside() && reading_) {
+        reject(status_timeout);
+    } else {
         close();
     }
 }
 
-void caller_connection::schedule_idle_timeout() {
-    timeout_.schedule_after(options_.limits.idle_timeout);
+std::optional<steady_time> caller_connection::deadline() const {
+    if (parser_.inside() && reading_) {
+        return parser_.headers_complete() ? last_progress_ + options_.limits.idle_timeout
+                                          : request_started_ + options_.limits.header_timeout;
+    }
+    return pending_.empty() ? std::optional{last_progress_ + options_.limits.idle_timeout} : std::nullopt;
+}
+
+void caller_connection::schedule_timeout() {
+    if (const auto due = deadline(); due && !lingering_) {
+        timeout_.schedule_at(*due);
+    }
 }
 
 void caller_connection::close() {
--- a/src/goldcrestwell/shell/caller_listener.hpp
+++ b/src/goldcrestwell/shell/caller_listener.hpp
@@ -31,6 +31,7 @@
     void set_limits(const caller_limits& limits) { server_.set_limits(limits); }
     void close_connections() { server_.close_connections(); }
     void stop_accepting() { server_.stop_accepting(); }
+    [[nodiscard]] bool reclaim(const memory_use use) { return server_.reclaim(use); }
     [[nodiscard]] std::size_t in_progress() const noexcept { return server_.in_progress(); }
 
 private:
--- a/src/goldcrestwell/shell/http_connection.cpp
+++ b/src/goldcrestwell/shell/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestwell/shell/http_connection.hpp"
 
+#include "goldcrestwell/shell/body_output.hpp"
 #include "goldcrestwell/shell/http_headers.hpp"
 #include "goldcrestwell/shell/socket_options.hpp"
 
@@ -32,6 +33,17 @@
     return !request.body.empty() || std::ranges::find(methods, request.method) != methods.end();
 }
 
+upstream_outcome outcome_of(const http_parser_fault fault) {
+    switch (fault) {
+    case http_parser_fault::malformed:
+        return upstream_outcome::invalid;
+    case http_parser_fault::out_of_memory:
+        return upstream_outcome::out_of_memory;
+    default:
+        return upstream_outcome::too_large;
+    }
+}
+
 std::string format_request_head(const http_client_request& request, const endpoint& server) {
     auto head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
     if (!find_header(request.headers, "Host")) {
@@ -57,9 +69,9 @@
 http_connection::http_connection(event_loop& loop, endpoint server, const std::size_t max_response_bytes)
     : http_connection{loop, std::move(server), http_connection_options{.max_response_bytes = max_response_bytes}} {}
 
-http_connection::http_connection(event_loop& loop, endpoint server, const http_connection_options options)
-    : loop_{loop}, server_{std::move(server)}, options_{options},
-      parser_{{.max_body_bytes = options.max_response_bytes}}, timeout_{loop, [this](time_sample) {
+http_connection::http_connection(event_loop& loop, endpoint server, http_connection_options options)
+    : loop_{loop}, server_{std::move(server)}, options_{std::move(options)},
+      parser_{{.max_body_bytes = options_.max_response_bytes, .memory = options_.memory, .counts_as_small = options_.counts_as_small}}, timeout_{loop, [this](time_sample) {
                                                                             on_timeout();
                                                                         }} {}
 
@@ -111,9 +123,7 @@
 void http_connection::write(const http_client_request& request) {
     const auto head = format_request_head(request, server_);
     bufferevent_write(handle_.get(), head.data(), head.size());
-    if (!request.body.empty()) {
-        bufferevent_write(handle_.get(), request.body.data(), request.body.size());
-    }
+    append_body(bufferevent_get_output(handle_.get()), request.body);
     request_bytes_ = head.size() + request.body.size();
 }
 
@@ -155,8 +165,7 @@
         const std::string_view bytes{chunk.data(), count};
         const auto consumed_bytes = parser_.feed(bytes);
         if (parser_.fault() != http_parser_fault::none) {
-            const auto is_too_large = parser_.fault() != http_parser_fault::malformed;
-            fail(is_too_large ? upstream_outcome::too_large : upstream_outcome::invalid);
+            fail(outcome_of(parser_.fault()));
             return;
         }
         if (auto message = parser_.take()) {
--- a/src/goldcrestwell/shell/http_connection.hpp
+++ b/src/goldcrestwell/shell/http_connection.hpp
@@ -22,13 +22,17 @@
     std::string method{"GET"};
     std::string target{"/"};
     std::vector<http_header> headers;
-    std::string body;
+    message_body body;
     std::chrono::milliseconds timeout{10'000};
 };
 
 /** @brief Limits and behaviour of a client connection. */
 struct http_connection_options {
     std::size_t max_response_bytes{std::size_t{8} << 20U};
+    /** @brief Budget for responses; if null, only their size limit applies. */
+    std::shared_ptr<memory_budget> memory;
+    /** @brief Whether responses of any size count as small uses of the budget. */
+    bool counts_as_small{};
     /** @brief Accepts a response without a length as complete after an orderly close of the connection. */
     bool accept_close_delimited{};
     /** @brief Maximum time to open the connection; if zero, only the timeout of the request applies. */
--- a/src/goldcrestwell/shell/http_exchange.hpp
+++ b/src/goldcrestwell/shell/http_exchange.hpp
@@ -26,7 +26,7 @@
     /** @brief Returns the path and query as received. */
     [[nodiscard]] const std::string& target() const noexcept { return request_.target; }
     [[nodiscard]] const std::vector<http_header>& headers() const noexcept { return request_.headers; }
-    [[nodiscard]] const std::string& body() const noexcept { return request_.body; }
+    [[nodiscard]] const message_body& body() const noexcept { return request_.body; }
 
     /** @brief Returns the path without the query. */
     [[nodiscard]] std::string_view path() const noexcept;
--- a/src/goldcrestwell/shell/http_message.hpp
+++ b/src/goldcrestwell/shell/http_message.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_SHELL_HTTP_MESSAGE_HPP
 
 #include "goldcrestwell/core/message/http_header.hpp"
+#include "goldcrestwell/core/message/message_body.hpp"
 
 #include <cstdint>
 #include <string>
@@ -19,7 +20,7 @@
     std::uint32_t status{};
     /** @brief Headers, except hop-by-hop headers. */
     std::vector<http_header> headers;
-    std::string body;
+    message_body body;
     /** @brief Whether the connection stays open for another message. */
     bool keep_alive{};
     /** @brief Whether the end of the message is known before the connection closes, as with a length or chunks. */
--- a/src/goldcrestwell/shell/http_message_parser.cpp
+++ b/src/goldcrestwell/shell/http_message_parser.cpp
@@ -1,7 +1,9 @@
 #include "goldcrestwell/shell/http_message_parser.hpp"
 
+#include "goldcrestwell/core/message/message_memory.hpp"
 #include "goldcrestwell/shell/http_headers.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -12,6 +14,9 @@
 constexpr std::uint32_t min_final_status = 200;
 // Separators and line ends take up to three bytes for each counted byte of a header.
 constexpr std::size_t overhead_factor = 4;
+// Memory is reserved in steps, so that small messages need few reservations.
+constexpr std::size_t head_memory_step = 4'096;
+constexpr std::size_t min_body_capacity = 4'096;
 
 http_message_parser& parser_of(http_parser* parser) {
     return *static_cast<http_message_parser*>(parser->data);
@@ -19,7 +24,7 @@
 
 } // namespace
 
-http_message_parser::http_message_parser(const http_message_parser_options options) : options_{options} {
+http_message_parser::http_message_parser(http_message_parser_options options) : options_{std::move(options)} {
     http_parser_init(&parser_, options_.requests ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_.data = this;
     // http_parser has one header limit for the whole process; this class enforces its own limit for each connection.
@@ -43,8 +48,10 @@
             auto& self = parser_of(parser);
             self.message_.target.append(data, size);
             self.header_bytes_ += size;
-            return self.header_bytes_ > self.options_.max_header_bytes ? self.fail(http_parser_fault::headers_too_large)
-                                                                       : 0;
+            if (self.header_bytes_ > self.options_.max_header_bytes) {
+                return self.fail(http_parser_fault::headers_too_large);
+            }
+            return self.reserve_head() ? 0 : self.fail(http_parser_fault::out_of_memory);
         };
         parser_callbacks.on_header_field = [](http_parser* parser, const char* data, const size_t size) {
             return parser_of(parser).add_to_header({data, size}, true);
@@ -102,9 +109,24 @@
     return std::exchange(message_, {});
 }
 
+void http_message_parser::discard() noexcept {
+    message_ = {};
+    header_ = {};
+    body_ = {};
+    memory_ = {};
+    inside_ = false;
+    if (fault_ == http_parser_fault::none) {
+        fault_ = http_parser_fault::malformed;
+    }
+}
+
 void http_message_parser::begin() {
     message_ = {};
     header_ = {};
+    body_ = {};
+    memory_ = memory_reservation{options_.memory};
+    head_memory_ = 0;
+    body_memory_ = 0;
     header_bytes_ = 0;
     in_value_ = false;
     inside_ = true;
@@ -122,6 +144,12 @@
     }
     if (name && std::exchange(in_value_, false)) {
         message_.headers.push_back(std::exchange(header_, {}));
+        if (message_.headers.size() >= options_.max_header_count) {
+            return fail(http_parser_fault::headers_too_large);
+        }
+    }
+    if (!reserve_head()) {
+        return fail(http_parser_fault::out_of_memory);
     }
     (name ? header_.name : header_.value).append(text);
     in_value_ = !name;
@@ -145,10 +173,44 @@
     if (length != std::numeric_limits<std::uint64_t>::max() && length > options_.max_body_bytes && !no_body_) {
         return fail(http_parser_fault::body_too_large);
     }
+    // A body whose length is known is reserved whole, so that a request that cannot be held is refused at once.
+    if (length != std::numeric_limits<std::uint64_t>::max() && !no_body_ && !reserve_body(length)) {
+        return fail(http_parser_fault::out_of_memory);
+    }
     // Returning 1 tells http_parser that no body follows.
     return no_body_ ? 1 : 0;
 }
 
+bool http_message_parser::reserve_head() {
+    const auto needed = head_memory(message_.headers.size() + 1, header_bytes_);
+    if (needed <= head_memory_) {
+        return true;
+    }
+    const auto reserved = (needed + head_memory_step - 1) / head_memory_step * head_memory_step;
+    if (!memory_.resize(reserved + body_memory_, memory_use::small)) {
+        return false;
+    }
+    head_memory_ = reserved;
+    return true;
+}
+
+// While a body is copied to a larger buffer, the rest of that buffer has not been touched, so both take no more memory
+// than the larger one.
+bool http_message_parser::reserve_body(const size_type bytes) {
+    if (bytes <= body_memory_) {
+        return true;
+    }
+    const auto doubled = std::min(std::max(2 * body_memory_, min_body_capacity), options_.max_body_bytes);
+    const auto capacity = body_memory_ == 0 ? bytes : std::max(bytes, doubled);
+    const auto use = options_.counts_as_small ? memory_use::small : memory_use_of_body(capacity);
+    if (!memory_.resize(head_memory_ + capacity, use)) {
+        return false;
+    }
+    body_memory_ = capacity;
+    body_.reserve(capacity);
+    return true;
+}
+
 bool http_message_parser::is_framed() const noexcept {
     constexpr std::uint32_t no_content = 204;
     constexpr std::uint32_t not_modified = 304;
@@ -159,10 +221,13 @@
 }
 
 int http_message_parser::add_to_body(const std::string_view text) {
-    if (message_.body.size() + text.size() > options_.max_body_bytes) {
+    if (text.size() > options_.max_body_bytes || body_.size() > options_.max_body_bytes - text.size()) {
         return fail(http_parser_fault::body_too_large);
     }
-    message_.body.append(text);
+    if (!reserve_body(body_.size() + text.size())) {
+        return fail(http_parser_fault::out_of_memory);
+    }
+    body_.append(text);
     body_bytes_ += text.size();
     return 0;
 }
@@ -173,6 +238,7 @@
         // An interim (1xx) response; the final response follows.
         return 0;
     }
+    message_.body = message_body{std::exchange(body_, {}), std::exchange(memory_, {})};
     complete_ = true;
     no_body_ = false;
     http_parser_pause(&parser_, 1);
@@ -181,6 +247,8 @@
 
 int http_message_parser::fail(const http_parser_fault fault) noexcept {
     fault_ = fault;
+    body_ = {};
+    memory_.clear();
     return -1;
 }
 
--- a/src/goldcrestwell/shell/http_message_parser.hpp
+++ b/src/goldcrestwell/shell/http_message_parser.hpp
@@ -1,13 +1,16 @@
 #ifndef GOLDCRESTWELL_SHELL_HTTP_MESSAGE_PARSER_HPP
 #define GOLDCRESTWELL_SHELL_HTTP_MESSAGE_PARSER_HPP
 
+#include "goldcrestwell/core/common/memory_reservation.hpp"
 #include "goldcrestwell/shell/http_message.hpp"
 #include "goldcrestwell/shell/http_parser_fault.hpp"
 
 #include <http_parser.h>
 
 #include <cstddef>
+#include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace goldcrestwell {
@@ -18,6 +21,12 @@
     bool requests{};
     std::size_t max_header_bytes{std::size_t{64} << 10U};
     std::size_t max_body_bytes{std::size_t{1} << 20U};
+    /** @brief Maximum number of headers; below that of the messages between nodes, which add some. */
+    std::size_t max_header_count{65'000};
+    /** @brief Budget from which messages reserve memory; if null, only the size limits apply. */
+    std::shared_ptr<memory_budget> memory;
+    /** @brief Whether bodies of any size count as small uses of the budget. */
+    bool counts_as_small{};
 };
 
 /** @brief Parses a byte stream into HTTP/1 messages, one at a time. */
@@ -48,8 +57,10 @@
     /** @brief Checks whether a message has begun and is not complete. */
     [[nodiscard]] bool inside() const noexcept { return inside_; }
     [[nodiscard]] bool headers_complete() const noexcept { return headers_complete_; }
-    /** @brief Returns the part of the message that has been parsed so far. */
+    /** @brief Returns the part of the message that has been parsed so far, without its body. */
     [[nodiscard]] const http_message& partial() const noexcept { return message_; }
+    /** @brief Discards an incomplete message and releases its memory; the rest of the stream is unusable. */
+    void discard() noexcept;
     /** @brief Makes the parser expect no body in the next response, regardless of its headers. */
     void expect_no_body() noexcept { no_body_ = true; }
 
@@ -57,6 +68,8 @@
     [[nodiscard]] static const http_parser_settings& callbacks() noexcept;
     void begin();
     int add_to_header(std::string_view text, bool name);
+    [[nodiscard]] bool reserve_head();
+    [[nodiscard]] bool reserve_body(size_type bytes);
     int finish_headers();
     [[nodiscard]] bool is_framed() const noexcept;
     int add_to_body(std::string_view text);
@@ -66,7 +79,11 @@
     http_message_parser_options options_;
     http_parser parser_{};
     http_message message_;
+    std::string body_;
     http_header header_;
+    memory_reservation memory_;
+    size_type head_memory_{};
+    size_type body_memory_{};
     size_type header_bytes_{};
     size_type body_bytes_{};
     /**
--- a/src/goldcrestwell/shell/http_parser_fault.hpp
+++ b/src/goldcrestwell/shell/http_parser_fault.hpp
@@ -6,7 +6,7 @@
 namespace goldcrestwell {
 
 /** @brief Reason why received bytes are not a valid HTTP message. */
-enum class http_parser_fault : std::uint8_t { none, malformed, headers_too_large, body_too_large };
+enum class http_parser_fault : std::uint8_t { none, malformed, headers_too_large, body_too_large, out_of_memory };
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/shell/log_client.cpp
+++ b/src/goldcrestwell/shell/log_client.cpp
@@ -76,7 +76,10 @@
 
 http_connection& log_client::idle_connection(std::unique_ptr<http_connection>& connection) {
     if (connection == nullptr || !connection->idle()) {
-        connection = std::make_unique<http_connection>(loop_, options_.server, max_log_response_bytes);
+        connection = std::make_unique<http_connection>(
+            loop_, options_.server,
+            http_connection_options{
+                .max_response_bytes = max_log_response_bytes, .memory = options_.memory, .counts_as_small = true});
     }
     return *connection;
 }
--- a/src/goldcrestwell/shell/log_client.hpp
+++ b/src/goldcrestwell/shell/log_client.hpp
@@ -26,6 +26,8 @@
     std::size_t max_records_per_read{500};
     /** @brief Maximum number of queued appends; if the queue is full, the oldest is dropped. */
     std::size_t max_waiting_appends{256};
+    /** @brief Budget for responses; if null, only their size limit applies. */
+    std::shared_ptr<memory_budget> memory;
     std::function<void(const record_batch& batch)> on_batch;
     /** @brief Called when a read failed, timed out or returned an unreadable response. */
     std::function<void()> on_read_failed;
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -16,6 +16,18 @@
 /** @brief Time for sending the last frames and datagrams before the loop stops. */
 constexpr std::chrono::milliseconds final_send_period{200};
 
+refusal_reason refusal_reason_of(const http_parser_fault fault) {
+    switch (fault) {
+    case http_parser_fault::out_of_memory:
+        return refusal_reason::out_of_memory;
+    case http_parser_fault::body_too_large:
+    case http_parser_fault::headers_too_large:
+        return refusal_reason::request_too_large;
+    default:
+        return refusal_reason::bad_request;
+    }
+}
+
 template <typename Options, typename Change>
 Options with_changes(Options options, Change change) {
     change(options);
@@ -40,19 +52,10 @@
                    [this](const drop_reason reason) {
                        core_.counts().drops.add(reason);
                    }}},
-      peers_{loop,
-             {.self = options_.core.self,
-              .start_incarnation = options_.core.start_incarnation,
-              .on_message = [this](const node_id from,
-                                   const peer_message& message) { core_.on_peer_message(from, message, loop_.now()); },
-              .on_lost = [this](const node_id peer) { core_.on_peer_lost(peer, loop_.now()); },
-              .on_not_sent = [this](const attempt_id& id) { core_.on_attempt_not_sent(id, loop_.now()); },
-              .on_drop =
-                  [this](const drop_reason reason) {
-                      core_.counts().drops.add(reason);
-                  }}},
+      peers_{loop, make_peer_options()},
       log_{loop, with_changes(options_.log,
                               [this](log_client_options& log) {
+                                  log.memory = options_.memory;
                                   log.on_batch = [this](const record_batch& batch) {
                                       core_.on_log_batch(batch, loop_.now());
                                   };
@@ -67,13 +70,55 @@
                               })},
       upstream_{loop, with_changes(options_.upstream,
                                    [this](upstream_client_options& upstream) {
+                                       upstream.memory = options_.memory;
                                        upstream.on_result = [this](const attempt_id& id,
                                                                    const upstream_result& result) {
                                            core_.on_upstream_result(id, result, loop_.now());
                                        };
                                    })},
-      core_{with_hooks(options_.core)}, callers_{loop, core_, options_.callers}, admin_{loop, core_, upstream_,
-                                                                                        options_.admin} {}
+      core_{with_hooks(options_.core)}, callers_{loop, core_, make_caller_options()},
+      admin_{loop, core_, upstream_, with_changes(options_.admin, [this](http_server_options& admin) {
+                 admin.memory = options_.memory;
+             })} {
+    if (options_.memory) {
+        options_.memory->on_shortage(
+            [this](const memory_use use) { return callers_.reclaim(use) || peers_.reclaim(); });
+    }
+}
+
+node_process::~node_process() {
+    if (options_.memory) {
+        options_.memory->on_shortage({});
+    }
+}
+
+peer_transport_options node_process::make_peer_options() {
+    return {.self = options_.core.self,
+            .start_incarnation = options_.core.start_incarnation,
+            .max_connections = options_.max_peer_connections,
+            .memory = options_.memory,
+            .on_message = [this](const node_id from,
+                                 const peer_message& message) { core_.on_peer_message(from, message, loop_.now()); },
+            .on_oversized =
+                [this](const node_id from, const peer_message& message) {
+                    core_.on_oversized_message(from, message, loop_.now());
+                },
+            .on_lost = [this](const node_id peer) { core_.on_peer_lost(peer, loop_.now()); },
+            .on_not_sent = [this](const attempt_id& id) { core_.on_attempt_not_sent(id, loop_.now()); },
+            .on_drop =
+                [this](const drop_reason reason) {
+                    core_.counts().drops.add(reason);
+                }};
+}
+
+caller_listener_options node_process::make_caller_options() {
+    auto options = options_.callers;
+    options.server.memory = options_.memory;
+    options.server.on_refused = [this](const http_parser_fault fault) {
+        report(fault);
+    };
+    return options;
+}
 
 bool node_process::start() {
     if (!peers_.start()) {
@@ -185,6 +230,13 @@
     return options;
 }
 
+void node_process::report(const http_parser_fault fault) {
+    const auto reason = refusal_reason_of(fault);
+    core_.counts().refusals.add(reason);
+    write_log(log_level::info, "request_refused",
+              {{"reason", to_string(reason)}, {"memory_in_use", options_.memory ? options_.memory->used() : 0}});
+}
+
 void node_process::report(const node_event& event) const {
     std::visit([this](const auto& alternative) { report(alternative); }, event);
 }
--- a/src/goldcrestwell/shell/node_process.hpp
+++ b/src/goldcrestwell/shell/node_process.hpp
@@ -1,6 +1,7 @@
 #ifndef GOLDCRESTWELL_SHELL_NODE_PROCESS_HPP
 #define GOLDCRESTWELL_SHELL_NODE_PROCESS_HPP
 
+#include "goldcrestwell/core/common/memory_budget.hpp"
 #include "goldcrestwell/core/node/node.hpp"
 #include "goldcrestwell/shell/admin_listener.hpp"
 #include "goldcrestwell/shell/caller_listener.hpp"
@@ -15,6 +16,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace goldcrestwell {
@@ -26,6 +28,10 @@
     http_server_options admin;
     log_client_options log;
     upstream_client_options upstream;
+    /** @brief Budget of all buffers that other processes fill; if null, only the limits of the parts apply. */
+    std::shared_ptr<memory_budget> memory;
+    /** @brief Maximum number of connections with other nodes. */
+    std::size_t max_peer_connections{20'000};
     /** @brief Maximum duration of a drain, after which calls in progress are aborted. */
     std::chrono::milliseconds drain_limit{30'000};
     /** @brief Delay after which a drain closes callers' connections; zero keeps them open until its end. */
@@ -38,6 +44,10 @@
 class node_process {
 public:
     node_process(event_loop& loop, node_process_options options);
+    ~node_process();
+
+    node_process(const node_process&) = delete;
+    node_process& operator=(const node_process&) = delete;
 
     /** @brief Opens all sockets; returns false if one could not be bound, see `last_reason`. */
     [[nodiscard]] bool start();
@@ -54,6 +64,10 @@
 
 private:
     [[nodiscard]] node_options with_hooks(node_options options);
+    [[nodiscard]] peer_transport_options make_peer_options();
+    [[nodiscard]] caller_listener_options make_caller_options();
+    /** @brief Counts and logs a request that was refused before it was complete. */
+    void report(http_parser_fault fault);
     void report(const node_event& event) const;
     void report(const table_changed& event) const;
     void report(const became_ready& event) const;
--- a/src/goldcrestwell/shell/peer_transport.cpp
+++ b/src/goldcrestwell/shell/peer_transport.cpp
@@ -1,9 +1,9 @@
+// Connections of a peer transport; peer_transport_messages.cpp sends and receives messages.
+
 #include "goldcrestwell/shell/peer_transport.hpp"
 
 #include "goldcrestwell/codec/frame_codec.hpp"
 
-#include <arpa/inet.h>
-#include <event2/listener.h>
 #include <event2/util.h>
 
 #include <utility>
@@ -13,52 +13,31 @@
 namespace {
 
 constexpr std::chrono::seconds idle_check_interval{10};
-constexpr int listen_backlog = 1024;
-
-sockaddr_in listen_address(const node_id self) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(self.address());
-    address.sin_port = htons(self.port());
-    return address;
-}
+// A node introduces itself as soon as it has connected.
+constexpr std::chrono::seconds hello_timeout{1};
+// Objects of a connection and its usual input and output.
+constexpr std::size_t link_memory = 16'384;
+// A message that makes no progress for this time may be given up when memory runs short.
+constexpr std::chrono::seconds min_stall{1};
 
 } // namespace
 
-void peer_transport::listener_deleter::operator()(evconnlistener* handle) const noexcept {
-    evconnlistener_free(handle);
-}
-
 peer_transport::peer_transport(event_loop& loop, peer_transport_options options)
-    : loop_{loop}, options_{std::move(options)}, idle_check_{loop, [this](time_sample) {
+    : loop_{loop}, options_{std::move(options)}, idle_check_{loop,
+                                                             [this](time_sample) {
                                                                  close_idle();
-                                                             }} {}
-
-peer_transport::~peer_transport() = default;
+                                                             }},
+      hello_check_{loop,
+                   [this](time_sample) {
+                       close_silent_peers();
+                   }},
+      listener_{loop, to_endpoint(options_.self), [this](const int descriptor) {
+                    accept(descriptor);
+                }} {}
 
 bool peer_transport::start() {
-    auto address = listen_address(options_.self);
-    const auto accepted = [](evconnlistener* /*unused*/, evutil_socket_t descriptor, sockaddr* /*unused*/,
-                             int /*unused*/, void* argument) {
-        static_cast<peer_transport*>(argument)->accept(descriptor);
-    };
-    listener_.reset(evconnlistener_new_bind(loop_.base(), accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                            listen_backlog, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
     idle_check_.schedule_after(idle_check_interval);
-    return listener_ != nullptr;
-}
-
-void peer_transport::send(const node_id to, const peer_message& message) {
-    auto* found = find_link(to);
-    auto& target = found != nullptr ? *found : open_link(to);
-    const auto body = encode(message);
-    if (const auto* request = std::get_if<attempt_request>(&message)) {
-        remove_sent_requests(target);
-        target.unsent.push_back({.id = request->id, .begin = target.connection->queued_bytes()});
-    }
-    target.last_used = loop_.now().steady;
-    target.connection->send(body);
-    bytes_sent_ += body.size();
+    return listener_.start();
 }
 
 void peer_transport::replace(const node_id peer) {
@@ -74,25 +53,69 @@
 }
 
 void peer_transport::accept(const int descriptor) {
-    if (links_.size() >= options_.max_connections) {
+    memory_reservation memory{options_.memory};
+    const auto has_room = links_.size() < options_.max_connections || close_unknown_peer();
+    if (!has_room || !memory.resize(link_memory, memory_use::small)) {
         evutil_closesocket(descriptor);
         options_.on_drop(drop_reason::connection_refused);
         return;
     }
     const auto number = ++last_number_;
+    auto options = make_options(number);
+    options.max_frame_bytes = max_hello_bytes;
     links_.emplace(number,
                    link{.last_used = loop_.now().steady,
-                        .connection = std::make_unique<peer_connection>(loop_, descriptor, make_hooks(number))});
+                        .memory = std::move(memory),
+                        .incoming = transfer_assembler{options_.memory},
+                        .connection = std::make_unique<peer_connection>(loop_, descriptor, std::move(options))});
+    if (!std::exchange(hello_check_scheduled_, true)) {
+        hello_check_.schedule_after(hello_timeout);
+    }
+}
+
+// Connections have ascending numbers, so the first one found is the oldest.
+bool peer_transport::close_unknown_peer() {
+    for (const auto& [number, entry] : links_) {
+        if (!entry.peer) {
+            close_link(number);
+            return true;
+        }
+    }
+    return false;
+}
+
+void peer_transport::close_silent_peers() {
+    const auto oldest_allowed = loop_.now().steady - hello_timeout;
+    hello_check_scheduled_ = false;
+    for (auto entry = links_.begin(); entry != links_.end();) {
+        const auto next = std::next(entry);
+        if (!entry->second.peer) {
+            if (entry->second.last_used <= oldest_allowed) {
+                close_link(entry->first);
+            } else {
+                hello_check_scheduled_ = true;
+            }
+        }
+        entry = next;
+    }
+    if (hello_check_scheduled_) {
+        hello_check_.schedule_after(hello_timeout);
+    }
 }
 
 peer_transport::link& peer_transport::open_link(const node_id peer) {
     const auto number = ++last_number_;
+    memory_reservation memory{options_.memory};
+    // The node cannot do without connections to its peers, so it opens them even without memory for their buffers.
+    static_cast<void>(memory.resize(link_memory, memory_use::small));
     auto& opened = links_
                        .emplace(number, link{.peer = peer,
                                              .outbound = true,
                                              .last_used = loop_.now().steady,
+                                             .memory = std::move(memory),
+                                             .incoming = transfer_assembler{options_.memory},
                                              .connection = std::make_unique<peer_connection>(loop_, to_endpoint(peer),
-                                                                                             make_hooks(number))})
+                                                                                             make_options(number))})
                        .first->second;
     current_links_.insert_or_assign(peer, number);
     opened.connection->send(
@@ -108,34 +131,16 @@
     return &links_.at(current->second);
 }
 
-peer_connection_hooks peer_transport::make_hooks(const link_number number) {
-    return {.on_frame = [this, number](const std::string_view body) { return handle_frame(number, body); },
-            .on_closed =
-                [this, number](const codec_reason reason) {
-                    handle_close(number, reason);
+peer_connection_options peer_transport::make_options(const link_number number) {
+    return {.memory = options_.memory,
+            .on_frame = [this, number](const std::string_view frame) { return handle_frame(number, frame); },
+            .on_closed = [this, number](const codec_reason reason) { handle_close(number, reason); },
+            .on_drained =
+                [this, number] {
+                    handle_drained(number);
                 }};
 }
 
-bool peer_transport::handle_frame(const link_number number, const std::string_view body) {
-    frame_decoder decoder;
-    const auto message = decoder.decode(body);
-    if (!message) {
-        options_.on_drop(drop_reason::frame_unreadable);
-        return false;
-    }
-    auto& source = links_.at(number);
-    source.last_used = loop_.now().steady;
-    if (const auto* hello_message = std::get_if<hello>(&*message)) {
-        return handle_hello(number, *hello_message);
-    }
-    if (!source.peer) {
-        options_.on_drop(drop_reason::unknown_sender);
-        return false;
-    }
-    options_.on_message(source.peer, *message);
-    return true;
-}
-
 bool peer_transport::handle_hello(const link_number number, const hello& hello_message) {
     auto& source = links_.at(number);
     if (source.outbound || source.peer || !hello_message.sender || hello_message.sender == options_.self) {
@@ -143,6 +148,7 @@
         return false;
     }
     source.peer = hello_message.sender;
+    source.connection->set_frame_limit(max_frame_bytes);
     // The peer opens a new connection only after abandoning the previous one, so data left on that one is stale.
     for (auto entry = links_.begin(); entry != links_.end();) {
         const auto next = std::next(entry);
@@ -156,42 +162,57 @@
     return true;
 }
 
-// The event for an established connection arrives after the first bytes were written, so only the number of bytes left
-// in the buffer shows which requests have not been sent.
-void peer_transport::remove_sent_requests(link& target) {
-    while (!target.unsent.empty() && target.unsent.front().begin < target.connection->flushed_bytes()) {
-        target.unsent.pop_front();
-    }
-}
-
 void peer_transport::handle_close(const link_number number, const codec_reason reason) {
     if (reason == codec_reason::too_large) {
         options_.on_drop(drop_reason::frame_too_large);
+    } else if (reason == codec_reason::out_of_memory) {
+        options_.on_drop(drop_reason::out_of_memory);
     }
+    const auto peer = links_.at(number).peer;
+    if (remove_link(number)) {
+        options_.on_lost(peer);
+    }
+}
+
+bool peer_transport::remove_link(const link_number number) {
     const auto peer = links_.at(number).peer;
     close_link(number);
     const auto current = current_links_.find(peer);
     if (current == current_links_.end() || current->second != number) {
-        return;
+        return false;
     }
     current_links_.erase(current);
     for (const auto& [other, entry] : links_) {
         if (entry.peer == peer) {
             current_links_.insert_or_assign(peer, other);
-            return;
+            return false;
         }
     }
-    options_.on_lost(peer);
+    return true;
+}
+
+void peer_transport::drop_link(const link_number number) {
+    const auto peer = links_.at(number).peer;
+    if (remove_link(number)) {
+        loop_.defer([this, peer] { options_.on_lost(peer); });
+    }
 }
 
 void peer_transport::close_link(const link_number number) {
     const auto found = links_.find(number);
-    found->second.connection->close();
-    remove_sent_requests(found->second);
+    auto& closed = found->second;
+    closed.connection->close();
+    remove_sent_requests(closed);
+    // A peer runs a request only after its last part has arrived.
+    for (const auto& transfer : closed.outgoing) {
+        if (transfer.is_request) {
+            closed.unsent.push_back({.id = transfer.id});
+        }
+    }
     // The connection may be running one of its callbacks, and the core may be handling the event that replaces the
     // connection, so destroying it and calling the hook are deferred.
-    loop_.defer([this, connection = std::shared_ptr<peer_connection>{std::move(found->second.connection)},
-                 unsent = std::move(found->second.unsent)] {
+    loop_.defer([this, connection = std::shared_ptr<peer_connection>{std::move(closed.connection)},
+                 unsent = std::move(closed.unsent)] {
         for (const auto& request : unsent) {
             options_.on_not_sent(request.id);
         }
@@ -199,6 +220,22 @@
     links_.erase(found);
 }
 
+bool peer_transport::reclaim() {
+    auto oldest = loop_.now().steady - min_stall;
+    std::optional<link_number> found;
+    for (const auto& [number, entry] : links_) {
+        const auto holds_memory = entry.incoming.reserved_bytes() > 0 || entry.connection->incomplete_bytes() > link_memory;
+        if (holds_memory && !entry.connection->reading() && entry.last_used <= oldest) {
+            oldest = entry.last_used;
+            found = number;
+        }
+    }
+    if (found) {
+        drop_link(*found);
+    }
+    return found.has_value();
+}
+
 void peer_transport::close_idle() {
     const auto oldest_allowed_use = loop_.now().steady - options_.idle_timeout;
     for (auto entry = links_.begin(); entry != links_.end();) {
--- a/src/goldcrestwell/shell/socket_options.cpp
+++ b/src/goldcrestwell/shell/socket_options.cpp
@@ -18,6 +18,10 @@
 // Maximum time that sent data may stay unacknowledged before the connection is closed.
 constexpr std::chrono::milliseconds user_timeout{2'000};
 
+// The kernel doubles the value to account for its own structures.
+constexpr int receive_buffer_bytes = 32'768;
+constexpr int max_unsent_bytes = 131'072;
+
 void set_option(const int descriptor, const int level, const int name, const int value) noexcept {
     setsockopt(descriptor, level, name, &value, sizeof(value));
 }
@@ -28,6 +32,14 @@
     set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
 }
 
+void limit_unsent_bytes(const int descriptor) noexcept {
+    set_option(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, max_unsent_bytes);
+}
+
+void limit_receive_buffer(const int descriptor) noexcept {
+    set_option(descriptor, SOL_SOCKET, SO_RCVBUF, receive_buffer_bytes);
+}
+
 void tune_stream(const int descriptor) noexcept {
     disable_nagle(descriptor);
     set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/src/goldcrestwell/shell/upstream_client.cpp
+++ b/src/goldcrestwell/shell/upstream_client.cpp
@@ -10,6 +10,8 @@
 
 // Bounds the memory for the ids of refused requests.
 constexpr std::size_t max_refusals_per_connection = 32;
+// Input buffer and objects of a connection.
+constexpr std::size_t connection_memory = 32'768;
 
 call_request without_body(const call_request& call) {
     return {.method = call.method,
@@ -84,10 +86,14 @@
         // The upstream limits the number of connections.
         idle_.erase(idle_.begin());
     }
-    pooled_connection pooled;
+    pooled_connection pooled{.memory = memory_reservation{options_.memory}};
+    if (!pooled.memory.resize(connection_memory, memory_use::small)) {
+        return {};
+    }
     pooled.connection = std::make_unique<http_connection>(
         loop_, address_,
         http_connection_options{.max_response_bytes = options_.max_response_bytes,
+                                .memory = options_.memory,
                                 .accept_close_delimited = options_.accept_close_delimited,
                                 .connect_timeout = options_.connect_timeout});
     return pooled;
--- a/src/goldcrestwell/shell/upstream_client.hpp
+++ b/src/goldcrestwell/shell/upstream_client.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_SHELL_UPSTREAM_CLIENT_HPP
 
 #include "goldcrestwell/core/common/attempt_id.hpp"
+#include "goldcrestwell/core/common/memory_reservation.hpp"
 #include "goldcrestwell/core/message/call_request.hpp"
 #include "goldcrestwell/core/message/upstream_result.hpp"
 #include "goldcrestwell/shell/endpoint.hpp"
@@ -24,6 +25,8 @@
     std::size_t max_response_bytes{std::size_t{8} << 20U};
     /** @brief Maximum number of connections, even if the upstream announces more. */
     std::size_t max_connections{130};
+    /** @brief Budget for connections and responses; if null, only the limits apply. */
+    std::shared_ptr<memory_budget> memory;
     /** @brief Maximum idle time of a reused connection; after a longer time the upstream may be closing it. */
     std::chrono::milliseconds max_idle_time{4'000};
     /** @brief Maximum time to open a connection; if zero, only the timeout of the attempt applies. */
@@ -66,6 +69,7 @@
 private:
     struct pooled_connection {
         std::unique_ptr<http_connection> connection;
+        memory_reservation memory;
         /** @brief Ids of the requests that were refused on this connection. */
         std::vector<std::string> refused_ids;
         steady_time idle_since{};
--- a/test/codec/random_message.hpp
+++ b/test/codec/random_message.hpp
@@ -60,6 +60,11 @@
         fill(integer);
         value = tagged_value<Tag, Value>{integer};
     }
+    void fill(message_body& value) {
+        std::string bytes;
+        fill(bytes);
+        value = message_body{std::move(bytes)};
+    }
     void fill(std::string& value) {
         value.resize(1 + number(40));
         std::ranges::generate(value, [this] { return static_cast<char>(' ' + number(200)); });
--- a/test/core/call/call_network.cpp
+++ b/test/core/call/call_network.cpp
@@ -271,16 +271,16 @@
 }
 
 void call_network::start_upstream(const std::size_t index, const attempt_id& id, const call_request& call) {
-    nodes_[index].running[id] = {.request = call.body};
+    nodes_[index].running[id] = {.request = call.body.str()};
     upstream_result result{.outcome = upstream_outcome::answered,
-                           .response = {.status = 200, .headers = {}, .body = "answer " + call.body}};
+                           .response = {.status = 200, .headers = {}, .body = "answer " + call.body.str()}};
     if (chance(15)) {
         constexpr std::array failures{upstream_outcome::not_sent, upstream_outcome::timed_out, upstream_outcome::reset,
                                       upstream_outcome::truncated, upstream_outcome::too_large};
         result = {.outcome = failures[pick(failures.size())], .response = {}};
     }
     if (result.outcome != upstream_outcome::not_sent) {
-        ++calls_[std::stoul(call.body)].runs;
+        ++calls_[std::stoul(call.body.str())].runs;
     }
     at_node(index, std::chrono::milliseconds{1 + random_() % 100},
             [this, index, id, result](node&) { end_upstream(index, id, result); });
--- a/test/core/node/simulated_cluster.cpp
+++ b/test/core/node/simulated_cluster.cpp
@@ -330,11 +330,11 @@
     if (self.upstream->start(id, call, timeout, fault)) {
         checks_.check(invariant_id::leaving_gets_no_work,
                       !self.closed_since || time_.now() <= *self.closed_since + seconds{3},
-                      node_label(index) + " gives its upstream call " + call.body);
-        auto& record = calls_.at(std::stoul(call.body));
+                      node_label(index) + " gives its upstream call " + call.body.str());
+        auto& record = calls_.at(std::stoul(call.body.str()));
         ++record.runs;
         checks_.check(invariant_id::at_most_once, record.repeatable || record.runs == 1,
-                      "call " + call.body + " at " + node_label(index));
+                      "call " + call.body.str() + " at " + node_label(index));
     }
 }
 
--- a/test/core/node/simulated_cluster_checks.cpp
+++ b/test/core/node/simulated_cluster_checks.cpp
@@ -122,7 +122,7 @@
     if (const auto* response = std::get_if<http_response>(&result)) {
         ++coverage_.answered;
         checks_.check(invariant_id::answer_matches_call, response->body == std::to_string(number) && record.runs > 0,
-                      "call " + std::to_string(number) + " got " + response->body);
+                      "call " + std::to_string(number) + " got " + response->body.str());
         return;
     }
     record.refused_as_not_run = std::get<call_refusal>(result).state == run_state::not_run;
--- a/test/platform/fake_store.cpp
+++ b/test/platform/fake_store.cpp
@@ -83,7 +83,7 @@
         exchange->reply({.status = 412, .body = end_document.dump()});
         return;
     }
-    const auto page = decode_record_page(std::string(16, '\0') + exchange->body(), topic.records.size());
+    const auto page = decode_record_page(std::string(16, '\0') + exchange->body().str(), topic.records.size());
     for (const auto& decoded_record : page->records) {
         topic.records.push_back({.key = decoded_record.key, .value = decoded_record.payload});
     }
--- a/test/platform/response_faults.cpp
+++ b/test/platform/response_faults.cpp
@@ -65,7 +65,7 @@
     BOOST_TEST(post("id-1").body == "body of id-1");
     const auto second = post("id-2");
     check_unknown_outcome(second);
-    BOOST_TEST(second.body.find("id-1") == std::string::npos);
+    BOOST_TEST(second.body.str().find("id-1") == std::string::npos);
     BOOST_TEST(upstream.requests() == 2U);
     BOOST_TEST(post("id-3").body == "body of id-3");
     BOOST_TEST(post("id-4").body == "body of id-4");
--- a/test/platform/sidecar_cluster.cpp
+++ b/test/platform/sidecar_cluster.cpp
@@ -91,7 +91,7 @@
 }
 
 std::string sidecar_cluster::status(const host& target_host) {
-    return send(to_endpoint(target_host.settings.admin_listener), {.target = "/status"}).response.body;
+    return send(to_endpoint(target_host.settings.admin_listener), {.target = "/status"}).response.body.str();
 }
 
 upstream_result sidecar_cluster::call(const host& target_host, const std::string& method, const std::string& target,
--- a/test/system/call_record.cpp
+++ b/test/system/call_record.cpp
@@ -35,7 +35,7 @@
     if (const auto outcome = find_header(result.response.headers, outcome_header)) {
         return *outcome == "not-run" ? call_ending::not_run : call_ending::unknown;
     }
-    if (text_field(result.response.body, "request_id") != id) {
+    if (text_field(result.response.body.str(), "request_id") != id) {
         return call_ending::wrong_answer;
     }
     return result.response.status == status_ok ? call_ending::answered : call_ending::upstream_error;
@@ -46,7 +46,7 @@
 }
 
 std::string call_record::version() const {
-    return text_field(result.response.body, "version");
+    return text_field(result.response.body.str(), "version");
 }
 
 std::ostream& operator<<(std::ostream& out, const call_ending ending) {
--- a/test/system/child_process.hpp
+++ b/test/system/child_process.hpp
@@ -29,6 +29,8 @@
     /** @return Exit code, 128 plus the signal number after a fatal signal, or nothing while the process runs. */
     [[nodiscard]] std::optional<int> exit_status();
 
+    [[nodiscard]] pid_t id() const noexcept { return id_; }
+
 private:
     pid_t id_{};
     std::optional<int> status_;
--- a/test/system/test_cluster.cpp
+++ b/test/system/test_cluster.cpp
@@ -262,7 +262,7 @@
 
 std::string test_cluster::get(const std::uint16_t port, const std::string& target) {
     const auto result = loop_.request(port, {.target = target, .timeout = request_timeout});
-    return result.outcome == upstream_outcome::answered && result.response.status == status_ok ? result.response.body
+    return result.outcome == upstream_outcome::answered && result.response.status == status_ok ? result.response.body.str()
                                                                                                : "";
 }
 
