Keep the connections of a process within its descriptors

What callers saw: a crowd of silent connections, or of connections that held a head or a small body just short of its end, took more descriptors than the host has, on the ports for callers, peers and the platform.

Cause: each listener had a limit of its own, up to 20,000 connections, and limits.max_fds was not known to the node.

--- a/src/goldcrestwell/cli/resource_options.cpp
+++ b/src/goldcrestwell/cli/resource_options.cpp
@@ -3,6 +3,7 @@
 #include "goldcrestwell/core/node/resource_shares.hpp"
 #include "goldcrestwell/shell/allocator.hpp"
 
+#include <algorithm>
 #include <memory>
 
 namespace goldcrestwell {
@@ -19,6 +20,10 @@
                                                                            .small_use_bytes = shares.small_buffer_bytes,
                                                                            .trim = release_free_memory});
     options.core.max_archived_response_bytes = shares.archive_bytes;
+    options.callers.server.max_connections = shares.caller_connections;
+    options.admin.max_connections = shares.service_connections;
+    options.max_peer_connections = shares.peer_connections;
+    options.upstream.max_connections = std::min(options.upstream.max_connections, shares.upstream_connections);
 }
 
 } // namespace goldcrestwell
