Refuse a response without a length that is reset during the upload

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: the failed write consumes the error of the socket, so the next read reports an orderly end. libevent hands both events over together, and the connection looked only at the end of the stream.

Change: the end of a stream is orderly only if no error came with it and the request has been written.

Why it works: a server that resets while bytes are waiting to be written leaves either the error or the unwritten bytes.

--- a/src/goldcrestwell/shell/http_connection.cpp
+++ b/src/goldcrestwell/shell/http_connection.cpp
@@ -90,7 +90,8 @@
         if ((what & BEV_EVENT_CONNECTED) != 0) {
             self.on_connected();
         } else {
-            self.on_closed((what & BEV_EVENT_EOF) != 0);
+            // After a failed write, the end of the stream may be reported together with the error.
+            self.on_closed((what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0);
         }
     };
     bufferevent_setcb(handle_.get(), readable, nullptr, changed, this);
@@ -186,7 +187,9 @@
         return;
     }
     const auto unframed = parser_.headers_complete() && !parser_.partial().framed;
-    if (closed_orderly && unframed && options_.accept_close_delimited) {
+    // A server that closes without having read the whole request resets the connection, possibly after its last bytes.
+    const auto request_written = evbuffer_get_length(bufferevent_get_output(handle_.get())) == 0;
+    if (closed_orderly && request_written && unframed && options_.accept_close_delimited) {
         parser_.feed_end();
         if (auto message = parser_.take()) {
             on_message(std::move(*message), false);
--- a/test/platform/raw_upstream.cpp
+++ b/test/platform/raw_upstream.cpp
@@ -37,6 +37,15 @@
     write(state.endless);
 }
 
+void raw_upstream::connection::stop_reading() const {
+    bufferevent_disable(handle_, EV_READ);
+}
+
+void raw_upstream::connection::reset() const {
+    owner_.connections_.at(handle_).reset = true;
+    owner_.close(handle_);
+}
+
 void raw_upstream::connection::write_and_close(const std::string_view bytes) const {
     owner_.connections_.at(handle_).close = true;
     write(bytes);
--- a/test/platform/raw_upstream.hpp
+++ b/test/platform/raw_upstream.hpp
@@ -28,6 +28,9 @@
         void write(std::string_view bytes) const;
         /** @brief Writes the bytes again and again until the other side closes the connection. */
         void write_without_end(std::string bytes) const;
+        /** @brief Leaves the rest of the request unread. */
+        void stop_reading() const;
+        void reset() const;
         /** @brief Closes the connection after the bytes were written. */
         void write_and_close(std::string_view bytes) const;
         /** @brief Resets the connection after the bytes were written. */
--- a/test/platform/response_faults.cpp
+++ b/test/platform/response_faults.cpp
@@ -5,6 +5,7 @@
 #include "platform/sidecar_cluster.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <set>
 
@@ -43,6 +44,8 @@
     raw_upstream serve(raw_upstream::request_hook on_request) {
         return {cluster.loop, host.settings.upstream_address.port(), std::move(on_request)};
     }
+    /** @brief Announces the upstream again, so that it does not expire during a long test. */
+    void renew() { BOOST_REQUIRE(cluster.announce(host) == 200U); }
     http_response post(const std::string& id) { return cluster.call(host, "POST", "/pay/1", id).response; }
 
     sidecar_cluster cluster;
@@ -194,4 +197,26 @@
     BOOST_TEST(post("id-9").body == "body of id-9");
 }
 
+// Guards against a response without a length that is reset while the request is still being written. libevent then reports
+// both the error of the write and the end of the stream.
+BOOST_AUTO_TEST_CASE(response_reset_during_the_upload_is_no_success) {
+    constexpr std::size_t upload_bytes = std::size_t{16} << 20U;
+    cluster.write_config(4, "orders", "/read/", upload_bytes);
+    std::unique_ptr<timer> reset;
+    const auto upstream = serve([&](const std::string& id, const raw_upstream::connection& from) {
+        from.stop_reading();
+        from.write(head_of(id, "") + "half of the body");
+        reset = std::make_unique<timer>(cluster.loop, [from](time_sample) { from.reset(); });
+        reset->schedule_after(milliseconds{50});
+    });
+    const std::string body(upload_bytes, 'u');
+    BOOST_REQUIRE(cluster.wait_for(
+        [&] { return nlohmann::json::parse(cluster.status(host))["config_version"].get<std::uint64_t>() == 4U; }));
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        renew();
+        check_unknown_outcome(cluster.upload(host, "/pay/1", "id-" + std::to_string(attempt), body).response);
+    }
+    BOOST_TEST(upstream.requests() == 10U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/sidecar_cluster.cpp
+++ b/test/platform/sidecar_cluster.cpp
@@ -106,6 +106,18 @@
                  .timeout = deadline + std::chrono::seconds{2}});
 }
 
+upstream_result sidecar_cluster::upload(const host& target_host, const std::string& target, const std::string& id,
+                                        const std::string& body) {
+    return send(to_endpoint(target_host.settings.caller_listener),
+                {.method = "POST",
+                 .target = target,
+                 .headers = {{.name = "Host", .value = "shop.example"},
+                             {.name = "Goldcrestwell-Request-Id", .value = id},
+                             {.name = "Goldcrestwell-Deadline-Ms", .value = "2000"}},
+                 .body = body,
+                 .timeout = std::chrono::seconds{4}});
+}
+
 upstream_result sidecar_cluster::send(const endpoint& server, const http_client_request& request) {
     http_connection connection{loop, server, std::size_t{1} << 20U};
     std::optional<upstream_result> received;
@@ -133,7 +145,8 @@
     loop.run();
 }
 
-void sidecar_cluster::write_config(const std::uint64_t version, const std::string& service, const std::string& prefix) {
+void sidecar_cluster::write_config(const std::uint64_t version, const std::string& service, const std::string& prefix,
+                                   const std::size_t max_body_bytes) {
     const auto route = [&service](const std::string& path, const std::string& kind) {
         return nlohmann::json{{"host", "shop.example"}, {"path_prefix", path},      {"route_kind", kind},
                               {"timeout_ms", 1'000},    {"target_latency_ms", 500}, {"priority", 1},
@@ -145,7 +158,7 @@
         {"services", {{service, {{"health_path", "/health"}, {"max_connections", 130}}}}},
         {"limits",
          {{"max_header_bytes", 16'384},
-          {"max_body_bytes", 1'048'576},
+          {"max_body_bytes", max_body_bytes},
           {"header_timeout_ms", 3'000},
           {"idle_timeout_ms", 15'000}}}};
     store.put("keyed.op", "config", config.dump());
--- a/test/platform/sidecar_cluster.hpp
+++ b/test/platform/sidecar_cluster.hpp
@@ -49,11 +49,15 @@
     /** @brief Sends a request to the caller listener of a host. */
     upstream_result call(const host& target_host, const std::string& method, const std::string& target,
                          const std::string& id = "id-1", std::chrono::milliseconds deadline = std::chrono::seconds{2});
+    /** @brief Sends a request with a body to the caller listener of a host. */
+    upstream_result upload(const host& target_host, const std::string& target, const std::string& id,
+                           const std::string& body);
     /** @return False if the condition does not hold within ten seconds. */
     bool wait_for(const std::function<bool()>& condition);
     void run_for(std::chrono::milliseconds duration);
     /** @brief Writes a configuration to the store: one idempotent and one non-idempotent route to a service. */
-    void write_config(std::uint64_t version, const std::string& service, const std::string& prefix = "/read/");
+    void write_config(std::uint64_t version, const std::string& service, const std::string& prefix = "/read/",
+                      std::size_t max_body_bytes = 1'048'576);
 
     event_loop loop;
     std::uint16_t store_port;
