Check the head of a message before it is parsed

What callers saw: a response with the status 600 or 999, or with the status line "0200", arrived as an answer; after a status of 000 the bytes that followed were taken for the answer. A line whose field name held a blank was passed on, and "Content-Length : 2" cut the body.

Cause: http_parser takes every number below 1000 for a status, treats those below 200 as interim, and accepts blanks in the names of fields.

Change: http_head_scanner checks each head byte by byte, of responses and of requests, before http_parser sees it: three digits from 100 to 599, names of token bytes, no control bytes in values, no continuation lines.

Why it works: what the scanner accepts has one meaning, so the parser cannot find another one.

--- a/src/goldcrestwell/shell/http_message_parser.cpp
+++ b/src/goldcrestwell/shell/http_message_parser.cpp
@@ -24,7 +24,9 @@
 
 } // namespace
 
-http_message_parser::http_message_parser(http_message_parser_options options) : options_{std::move(options)} {
+http_message_parser::http_message_parser(http_message_parser_options options)
+    : options_{std::move(options)}, head_scanner_{options_.requests ? http_head_kind::request
+                                                                    : http_head_kind::response} {
     http_parser_init(&parser_, options_.requests ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_.data = this;
     // http_parser has one header limit for the whole process; this class enforces its own limit for each connection.
@@ -74,12 +76,33 @@
 }
 
 http_message_parser::size_type http_message_parser::feed(const std::string_view bytes) {
-    if (complete_ || fault_ != http_parser_fault::none) {
-        return 0;
+    const auto body_bytes_before = body_bytes_;
+    size_type consumed_bytes = 0;
+    while (consumed_bytes < bytes.size() && !complete_ && fault_ == http_parser_fault::none) {
+        auto next = bytes.substr(consumed_bytes);
+        if (!head_scanner_.complete()) {
+            next = next.substr(0, head_scanner_.feed(next));
+            if (!head_scanner_.valid()) {
+                fail(http_parser_fault::malformed);
+                break;
+            }
+        }
+        const auto parsed_bytes = parse(next);
+        consumed_bytes += parsed_bytes;
+        if (parsed_bytes == 0) {
+            break;
+        }
     }
+    overhead_bytes_ = complete_ || body_bytes_ != body_bytes_before ? 0 : overhead_bytes_ + consumed_bytes;
+    if (overhead_bytes_ > overhead_factor * options_.max_header_bytes && fault_ == http_parser_fault::none) {
+        fail(http_parser_fault::headers_too_large);
+    }
+    return consumed_bytes;
+}
+
+http_message_parser::size_type http_message_parser::parse(const std::string_view bytes) {
     http_parser_pause(&parser_, 0);
-    const auto body_bytes_before = body_bytes_;
-    const auto consumed_bytes = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+    const auto parsed_bytes = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&parser_);
     if (error != HPE_OK && error != HPE_PAUSED && fault_ == http_parser_fault::none) {
         fail(http_parser_fault::malformed);
@@ -87,11 +110,7 @@
     if (parser_.upgrade != 0 && !complete_ && fault_ == http_parser_fault::none) {
         fail(http_parser_fault::malformed);
     }
-    overhead_bytes_ = complete_ || body_bytes_ != body_bytes_before ? 0 : overhead_bytes_ + consumed_bytes;
-    if (overhead_bytes_ > overhead_factor * options_.max_header_bytes && fault_ == http_parser_fault::none) {
-        fail(http_parser_fault::headers_too_large);
-    }
-    return consumed_bytes;
+    return parsed_bytes;
 }
 
 void http_message_parser::feed_end() {
@@ -234,6 +253,9 @@
 
 int http_message_parser::finish() {
     inside_ = false;
+    // The head of the next message is checked before it is parsed.
+    head_scanner_.reset();
+    http_parser_pause(&parser_, 1);
     if (!options_.requests && message_.status < min_final_status) {
         // An interim (1xx) response; the final response follows.
         return 0;
@@ -241,7 +263,6 @@
     message_.body = message_body{std::exchange(body_, {}), std::exchange(memory_, {})};
     complete_ = true;
     no_body_ = false;
-    http_parser_pause(&parser_, 1);
     return 0;
 }
 
--- a/src/goldcrestwell/shell/http_message_parser.hpp
+++ b/src/goldcrestwell/shell/http_message_parser.hpp
@@ -1,6 +1,7 @@
 #ifndef GOLDCRESTWELL_SHELL_HTTP_MESSAGE_PARSER_HPP
 #define GOLDCRESTWELL_SHELL_HTTP_MESSAGE_PARSER_HPP
 
+#include "goldcrestwell/codec/http_head_scanner.hpp"
 #include "goldcrestwell/core/common/memory_reservation.hpp"
 #include "goldcrestwell/shell/http_message.hpp"
 #include "goldcrestwell/shell/http_parser_fault.hpp"
@@ -66,6 +67,8 @@
 
 private:
     [[nodiscard]] static const http_parser_settings& callbacks() noexcept;
+    /** @brief Passes bytes that the head scanner accepts to the parser; returns the number of bytes consumed. */
+    size_type parse(std::string_view bytes);
     void begin();
     int add_to_header(std::string_view text, bool name);
     [[nodiscard]] bool reserve_head();
@@ -77,6 +80,7 @@
     int fail(http_parser_fault fault) noexcept;
 
     http_message_parser_options options_;
+    http_head_scanner head_scanner_;
     http_parser parser_{};
     http_message message_;
     std::string body_;
--- a/test/platform/response_faults.cpp
+++ b/test/platform/response_faults.cpp
@@ -219,4 +219,45 @@
     BOOST_TEST(upstream.requests() == 10U);
 }
 
+// Guards against a response whose status is no status of the protocol.
+BOOST_AUTO_TEST_CASE(response_with_an_invalid_status_is_refused) {
+    std::string status;
+    const auto upstream = serve([&status](const std::string& id, const raw_upstream::connection& from) {
+        const auto head = head_of(id, "Content-Length: 4\r\n");
+        from.write("HTTP/1.1 " + status + head.substr(std::string_view{"HTTP/1.1 200"}.size()) + "body");
+    });
+    for (const auto* invalid : {"000", "001", "099", "20", "2", "0200", "2000", "600", "999", "2x0", "-20", "+200", ""}) {
+        status = invalid;
+        BOOST_TEST_CONTEXT("status " << status) {
+            renew();
+            BOOST_TEST(post("id-1").status == 502U);
+        }
+    }
+    status = "200";
+    BOOST_TEST(post("id-1").body == "body");
+}
+
+// Guards against a response in whose head a line is no field.
+BOOST_AUTO_TEST_CASE(response_with_an_invalid_field_is_refused) {
+    std::string line;
+    const auto upstream = serve([&line](const std::string& id, const raw_upstream::connection& from) {
+        const auto is_chunked = line.find("chunked") != std::string::npos;
+        from.write(head_of(id, line + "\r\n" + (is_chunked ? "" : "Content-Length: 4\r\n")) +
+                   (is_chunked ? "4\r\nbody\r\n0\r\n\r\n" : "body"));
+    });
+    using namespace std::string_literals;
+    for (const auto& invalid :
+         {"X Y: 1"s, "X : 1"s, " X: 1"s, "\tX: 1"s, "X\tY: 1"s, "X\x01Y: 1"s, "X\0Y: 1"s, "\x0bX: 1"s, "X\x7f: 1"s,
+          "X\xe9: 1"s, "X\x0b: 1"s, "Content-Length : 2"s, "Content-Length\t: 2"s, "X(Y): 1"s, "X: 1\x01"s, "X: \0"s,
+          "X: a\rb"s, "X"s, ": 1"s, "Transfer-Encoding : chunked"s, "Transfer-Encoding\x0b: chunked"s}) {
+        line = invalid;
+        BOOST_TEST_CONTEXT("line " << line) {
+            renew();
+            BOOST_TEST(post("id-1").status == 502U);
+        }
+    }
+    line = "X-Valid!#$%&'*+.^_`|~: \t a b\xe9 \t";
+    BOOST_TEST(post("id-1").body == "body");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
