Refuse invalid trailers and unknown transfer codings

What callers saw: a chunked response arrived as complete although a trailer after its last chunk held a blank in its name, and a body in a coding that the node does not decode was passed on as if it were plain.

Cause: trailers are not forwarded and were not looked at; Transfer-Encoding concerns one connection and was removed whatever it said.

Change: names and values of trailers obey the same rules as the head, and only the coding "chunked" is accepted.

--- a/src/goldcrestwell/shell/http_message_parser.cpp
+++ b/src/goldcrestwell/shell/http_message_parser.cpp
@@ -18,6 +18,13 @@
 constexpr std::size_t head_memory_step = 4'096;
 constexpr std::size_t min_body_capacity = 4'096;
 
+/** @brief Checks for a transfer coding other than chunks, which the body would keep. */
+bool has_unknown_coding(const std::vector<http_header>& headers) {
+    return std::ranges::any_of(headers, [](const http_header& header) {
+        return same_header_name(header.name, "Transfer-Encoding") && !same_header_name(header.value, "chunked");
+    });
+}
+
 http_message_parser& parser_of(http_parser* parser) {
     return *static_cast<http_message_parser*>(parser->data);
 }
@@ -158,8 +165,11 @@
         return fail(http_parser_fault::headers_too_large);
     }
     if (headers_complete_) {
-        // Trailer fields (after the last chunk) are not forwarded.
-        return 0;
+        // Trailer fields (after the last chunk) are not forwarded, but must be valid.
+        const auto is_allowed = name ? is_field_name_byte : is_field_value_byte;
+        const auto is_valid = std::ranges::all_of(
+            text, [is_allowed](const char byte) { return is_allowed(static_cast<unsigned char>(byte)); });
+        return is_valid ? 0 : fail(http_parser_fault::malformed);
     }
     if (name && std::exchange(in_value_, false)) {
         message_.headers.push_back(std::exchange(header_, {}));
@@ -186,6 +196,9 @@
     }
     message_.keep_alive = http_should_keep_alive(&parser_) != 0;
     message_.framed = no_body_ || is_framed();
+    if (has_unknown_coding(message_.headers)) {
+        return fail(http_parser_fault::malformed);
+    }
     message_.expects_continue = find_header(message_.headers, "Expect").has_value();
     std::erase_if(message_.headers, [](const http_header& header) { return is_hop_by_hop(header.name); });
     const auto length = parser_.content_length;
--- a/test/platform/response_faults.cpp
+++ b/test/platform/response_faults.cpp
@@ -237,7 +237,8 @@
     BOOST_TEST(post("id-1").body == "body");
 }
 
-// Guards against a response in whose head a line is no field.
+// Guards against a response in whose head a line is no field, and one whose body is encoded in a way that the node does
+// not decode.
 BOOST_AUTO_TEST_CASE(response_with_an_invalid_field_is_refused) {
     std::string line;
     const auto upstream = serve([&line](const std::string& id, const raw_upstream::connection& from) {
@@ -249,7 +250,8 @@
     for (const auto& invalid :
          {"X Y: 1"s, "X : 1"s, " X: 1"s, "\tX: 1"s, "X\tY: 1"s, "X\x01Y: 1"s, "X\0Y: 1"s, "\x0bX: 1"s, "X\x7f: 1"s,
           "X\xe9: 1"s, "X\x0b: 1"s, "Content-Length : 2"s, "Content-Length\t: 2"s, "X(Y): 1"s, "X: 1\x01"s, "X: \0"s,
-          "X: a\rb"s, "X"s, ": 1"s, "Transfer-Encoding : chunked"s, "Transfer-Encoding\x0b: chunked"s}) {
+          "X: a\rb"s, "X"s, ": 1"s, "Transfer-Encoding : chunked"s, "Transfer-Encoding\x0b: chunked"s,
+          "Transfer-Encoding: gzip, chunked"s}) {
         line = invalid;
         BOOST_TEST_CONTEXT("line " << line) {
             renew();
@@ -260,4 +262,22 @@
     BOOST_TEST(post("id-1").body == "body");
 }
 
+// Guards against trailers that hold what a head must not hold.
+BOOST_AUTO_TEST_CASE(response_with_an_invalid_trailer_is_refused) {
+    std::string line;
+    const auto upstream = serve([&line](const std::string& id, const raw_upstream::connection& from) {
+        from.write(head_of(id, "Transfer-Encoding: chunked\r\n") + "4\r\nbody\r\n0\r\n" + line + "\r\n\r\n");
+    });
+    using namespace std::string_literals;
+    for (const auto& invalid : {"X Y: 1"s, "X : 1"s, "X\x01Y: 1"s, "X\x7f: 1"s, "X\tY: 1"s, "X: 1\x01"s, "X"s}) {
+        line = invalid;
+        BOOST_TEST_CONTEXT("trailer " << line) {
+            renew();
+            BOOST_TEST(post("id-1").status == 502U);
+        }
+    }
+    line = "X: 1";
+    BOOST_TEST(post("id-1").body == "body");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
