Let a large response overlap with the next pipelined request

Cause: reading paused while a caller had more than 64 KiB to read, so a request behind a download waited until the download was written.

Change: one response of any size may be unread; reading pauses from the second one on and goes on once 64 KiB are left. Metrics show the memory of the buffers.

--- a/src/goldcrestwell/codec/codec_reason.cpp
+++ b/src/goldcrestwell/codec/codec_reason.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, codec_reason_count> names{
-    "none",         "truncated",    "malformed", "wrong_type",   "unknown_version",
-    "unknown_kind", "out_of_range", "too_large", "out_of_memory"};
+constexpr std::array<std::string_view, codec_reason_count> names{"none",         "truncated",       "malformed",
+                                                                 "wrong_type",   "unknown_version", "unknown_kind",
+                                                                 "out_of_range", "too_large",       "out_of_memory"};
 
 } // namespace
 
--- a/src/goldcrestwell/codec/frame_splitter.hpp
+++ b/src/goldcrestwell/codec/frame_splitter.hpp
@@ -32,8 +32,8 @@
 
     /**
      * @return The next complete frame body, or nothing. `last_reason` is then `none` if more bytes are needed,
-     * `too_large`, `malformed` or `out_of_memory` if the rest of the stream is unusable. The view is valid until the next call of
-     * `append`.
+     * `too_large`, `malformed` or `out_of_memory` if the rest of the stream is unusable. The view is valid until the
+     * next call of `append`.
      */
     [[nodiscard]] std::optional<std::string_view> next();
 
--- a/src/goldcrestwell/codec/transfer_assembler.cpp
+++ b/src/goldcrestwell/codec/transfer_assembler.cpp
@@ -100,9 +100,8 @@
 }
 
 transfer_assembler::size_type transfer_assembler::reserved_bytes() const noexcept {
-    return std::accumulate(
-        transfers_.begin(), transfers_.end(), size_type{},
-        [](const size_type sum, const auto& item) { return sum + item.second.memory.size(); });
+    return std::accumulate(transfers_.begin(), transfers_.end(), size_type{},
+                           [](const size_type sum, const auto& item) { return sum + item.second.memory.size(); });
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/common/drop_reason.cpp
+++ b/src/goldcrestwell/core/common/drop_reason.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr std::array<std::string_view, drop_reason_count> names{
-    "frame_too_large", "frame_unreadable", "datagram_too_large", "datagram_unreadable",    "record_unreadable",
-    "record_old",      "batch_gap",        "late_reply",         "crossed_reply",          "unknown_sender",
+    "frame_too_large", "frame_unreadable", "datagram_too_large", "datagram_unreadable",     "record_unreadable",
+    "record_old",      "batch_gap",        "late_reply",         "crossed_reply",           "unknown_sender",
     "stale_fact",      "budget_exhausted", "connection_refused", "announcement_unreadable", "out_of_memory"};
 
 } // namespace
--- a/src/goldcrestwell/core/common/memory_budget.cpp
+++ b/src/goldcrestwell/core/common/memory_budget.cpp
@@ -16,9 +16,9 @@
 memory_budget::memory_budget(memory_budget_options options) : options_{std::move(options)} {}
 
 bool memory_budget::fits(const size_type bytes, const memory_use use) const noexcept {
-    const auto limit = use == memory_use::small ? options_.capacity_bytes
-                                                : options_.capacity_bytes -
-                                                      std::min(options_.small_use_bytes, options_.capacity_bytes);
+    const auto limit = use == memory_use::small
+                           ? options_.capacity_bytes
+                           : options_.capacity_bytes - std::min(options_.small_use_bytes, options_.capacity_bytes);
     return used_ <= limit && bytes <= limit - used_;
 }
 
--- a/src/goldcrestwell/core/common/memory_budget.hpp
+++ b/src/goldcrestwell/core/common/memory_budget.hpp
@@ -32,7 +32,8 @@
     /** @brief Sets the hook that is called if there is too little memory; empty if none can be released. */
     void on_shortage(reclaim_hook reclaim) { reclaim_ = std::move(reclaim); }
 
-    /** @brief Reserves memory, reclaiming some if necessary; returns false and reserves nothing if there is too little. */
+    /** @brief Reserves memory, reclaiming some if necessary; returns false and reserves nothing if there is too little.
+     */
     [[nodiscard]] bool try_reserve(size_type bytes, memory_use use);
     void release(size_type bytes) noexcept;
 
--- a/src/goldcrestwell/core/message/message_body.hpp
+++ b/src/goldcrestwell/core/message/message_body.hpp
@@ -38,8 +38,9 @@
         return left.str() == right.str();
     }
     template <typename Text>
-    requires std::convertible_to<const Text&, std::string_view> && (!std::same_as<Text, message_body>)
-    [[nodiscard]] friend bool operator==(const message_body& left, const Text& right) {
+    requires std::convertible_to<const Text&, std::string_view> &&(!std::same_as<Text, message_body>)
+        [[nodiscard]] friend bool
+        operator==(const message_body& left, const Text& right) {
         return left.str() == std::string_view{right};
     }
     friend std::ostream& operator<<(std::ostream& out, const message_body& body);
--- a/src/goldcrestwell/core/node/resource_shares.cpp
+++ b/src/goldcrestwell/core/node/resource_shares.cpp
@@ -39,7 +39,8 @@
                           std::max<std::size_t>(buffers / connection_memory_divisor / caller_connection_bytes, 1)}),
             .peer_connections = sockets / peer_divisor,
             .upstream_connections = std::min(sockets / upstream_divisor, max_upstream_connections),
-            .service_connections = std::min(std::max<std::size_t>(sockets / service_divisor, 1), max_service_connections)};
+            .service_connections =
+                std::min(std::max<std::size_t>(sockets / service_divisor, 1), max_service_connections)};
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/platform/store_client.cpp
+++ b/src/goldcrestwell/platform/store_client.cpp
@@ -139,12 +139,12 @@
 
 http_connection& store_client::ensure_connection(std::unique_ptr<http_connection>& connection) {
     if (connection == nullptr || !connection->idle()) {
-        connection = std::make_unique<http_connection>(
-            loop_, options_.server,
-            http_connection_options{.max_response_bytes = max_store_response_bytes,
-                                           .memory = options_.memory,
-                                           .counts_as_small = true,
-                                           .connect_timeout = options_.timeout});
+        connection =
+            std::make_unique<http_connection>(loop_, options_.server,
+                                              http_connection_options{.max_response_bytes = max_store_response_bytes,
+                                                                      .memory = options_.memory,
+                                                                      .counts_as_small = true,
+                                                                      .connect_timeout = options_.timeout});
     }
     return *connection;
 }
--- a/src/goldcrestwell/shell/admin_listener.cpp
+++ b/src/goldcrestwell/shell/admin_listener.cpp
@@ -48,38 +48,39 @@
 } // namespace
 
 admin_listener::admin_listener(event_loop& loop, node& core, upstream_client& upstream, http_server_options options)
-    : loop_{loop}, core_{core}, upstream_{upstream}, handlers_{{"GET /status",
-                                                                [this](const exchange_pointer& exchange) {
-                                                                    show_status(exchange);
-                                                                }},
-                                                               {"GET /metrics",
-                                                                [this](const exchange_pointer& exchange) {
-                                                                    show_metrics(exchange);
-                                                                }},
-                                                               {"GET /ready",
-                                                                [this](const exchange_pointer& exchange) {
-                                                                    show_ready(exchange);
-                                                                }},
-                                                               {"GET /table",
-                                                                [this](const exchange_pointer& exchange) {
-                                                                    show_table(exchange);
-                                                                }},
-                                                               {"POST /edits",
-                                                                [this](const exchange_pointer& exchange) {
-                                                                    apply_edit(exchange);
-                                                                }},
-                                                               {"GET /edits",
-                                                                [this](const exchange_pointer& exchange) {
-                                                                    show_result(exchange);
-                                                                }},
-                                                               {"POST /announce",
-                                                                [this](const exchange_pointer& exchange) {
-                                                                    announce(exchange);
-                                                                }},
-                                                               {"POST /withdraw",
-                                                                [this](const exchange_pointer& exchange) {
-                                                                    withdraw(exchange);
-                                                                }}},
+    : loop_{loop}, core_{core}, upstream_{upstream}, memory_{options.memory},
+      handlers_{{"GET /status",
+                 [this](const exchange_pointer& exchange) {
+                     show_status(exchange);
+                 }},
+                {"GET /metrics",
+                 [this](const exchange_pointer& exchange) {
+                     show_metrics(exchange);
+                 }},
+                {"GET /ready",
+                 [this](const exchange_pointer& exchange) {
+                     show_ready(exchange);
+                 }},
+                {"GET /table",
+                 [this](const exchange_pointer& exchange) {
+                     show_table(exchange);
+                 }},
+                {"POST /edits",
+                 [this](const exchange_pointer& exchange) {
+                     apply_edit(exchange);
+                 }},
+                {"GET /edits",
+                 [this](const exchange_pointer& exchange) {
+                     show_result(exchange);
+                 }},
+                {"POST /announce",
+                 [this](const exchange_pointer& exchange) {
+                     announce(exchange);
+                 }},
+                {"POST /withdraw",
+                 [this](const exchange_pointer& exchange) {
+                     withdraw(exchange);
+                 }}},
       server_{loop, with_handler(std::move(options), [this](const exchange_pointer& exchange) { serve(exchange); })} {}
 
 void admin_listener::serve(const exchange_pointer& exchange) {
@@ -96,7 +97,8 @@
 }
 
 void admin_listener::show_metrics(const exchange_pointer& exchange) const {
-    exchange->reply(make_response(status_ok, "text/plain; version=0.0.4", metrics_text(core_, current_usage())));
+    exchange->reply(
+        make_response(status_ok, "text/plain; version=0.0.4", metrics_text(core_, current_usage(), memory_.get())));
 }
 
 void admin_listener::show_ready(const exchange_pointer& exchange) const {
--- a/src/goldcrestwell/shell/admin_listener.hpp
+++ b/src/goldcrestwell/shell/admin_listener.hpp
@@ -38,6 +38,7 @@
     event_loop& loop_;
     node& core_;
     upstream_client& upstream_;
+    std::shared_ptr<memory_budget> memory_;
     /** @brief Handlers by method and path, such as `GET /status`. */
     std::map<std::string, handler> handlers_;
     http_server server_;
--- a/src/goldcrestwell/shell/caller_connection.cpp
+++ b/src/goldcrestwell/shell/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <string_view>
@@ -19,7 +20,7 @@
 constexpr std::size_t read_chunk_bytes = 65'536;
 // Maximum number of requests of one connection that wait for a response; reading pauses at this number.
 constexpr std::size_t max_pending = 64;
-// Maximum size of the responses that the caller has not read; reading pauses above it.
+// Reading pauses while the caller has more than this, and more than one response, to read.
 constexpr std::size_t max_unwritten_bytes = 65'536;
 // Small bodies are copied to the output buffer, which takes less time than holding them.
 constexpr std::size_t max_copied_body_bytes = 4'096;
@@ -81,8 +82,9 @@
                [this](time_sample) {
                    on_timeout();
                }},
-      last_progress_{loop.now().steady},
-      handle_{bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)} {
+      last_progress_{loop.now().steady}, handle_{
+                                             bufferevent_socket_new(loop.base(), descriptor,
+                                                                    BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)} {
     install_callbacks();
     schedule_timeout();
 }
@@ -108,6 +110,7 @@
         }
     };
     bufferevent_setcb(handle_.get(), readable, written, ended, this);
+    bufferevent_setwatermark(handle_.get(), EV_WRITE, max_unwritten_bytes, 0);
     evbuffer_add_cb(bufferevent_get_output(handle_.get()), output_changed, this);
     bufferevent_enable(handle_.get(), EV_READ | EV_WRITE);
 }
@@ -122,7 +125,7 @@
 }
 
 bool caller_connection::accepts_requests() const {
-    return pending_.size() < max_pending && unwritten_bytes() <= max_unwritten_bytes;
+    return pending_.size() < max_pending && unwritten_bytes() <= std::max(max_unwritten_bytes, last_response_bytes_);
 }
 
 std::size_t caller_connection::in_progress() const noexcept {
@@ -301,6 +304,7 @@
         response_started_ = loop_.now().steady;
         last_progress_ = response_started_;
     }
+    last_response_bytes_ = head.size() + response.body.size();
     bufferevent_write(handle_.get(), head.data(), head.size());
     if (pending.head_request || has_no_body(response.status)) {
         return;
--- a/src/goldcrestwell/shell/caller_connection.hpp
+++ b/src/goldcrestwell/shell/caller_connection.hpp
@@ -101,6 +101,7 @@
     steady_time request_started_{};
     steady_time response_started_{};
     steady_time last_progress_{};
+    std::size_t last_response_bytes_{};
     /** @brief Whether the next request is the last one. */
     bool last_request_{};
     bool reading_{true};
--- a/src/goldcrestwell/shell/caller_server.cpp
+++ b/src/goldcrestwell/shell/caller_server.cpp
@@ -22,7 +22,9 @@
 caller_server::caller_server(event_loop& loop, caller_server_options options)
     : loop_{loop}, options_{std::move(options)}, listener_{loop,
                                                            {.address = options_.address, .port = options_.port},
-                                                           [this](const int descriptor) { accept(descriptor); }} {}
+                                                           [this](const int descriptor) {
+                                                               accept(descriptor);
+                                                           }} {}
 
 void caller_server::set_limits(const caller_limits& limits) {
     options_.limits = limits;
@@ -53,16 +55,16 @@
     tune_stream(descriptor);
     limit_receive_buffer(descriptor);
     const auto connection_number = ++last_connection_number_;
-    auto connection = std::make_unique<caller_connection>(
-        loop_, descriptor,
-        caller_connection_options{.limits = options_.limits,
-                                  .memory = options_.memory,
-                                  .connection_memory = std::move(reserved),
-                                  .on_request = options_.on_request,
-                                  .on_refused = options_.on_refused,
-                                  .on_closed = [this, connection_number] {
-                                      remove_connection(connection_number);
-                                  }});
+    auto connection =
+        std::make_unique<caller_connection>(loop_, descriptor,
+                                            caller_connection_options{.limits = options_.limits,
+                                                                      .memory = options_.memory,
+                                                                      .connection_memory = std::move(reserved),
+                                                                      .on_request = options_.on_request,
+                                                                      .on_refused = options_.on_refused,
+                                                                      .on_closed = [this, connection_number] {
+                                                                          remove_connection(connection_number);
+                                                                      }});
     if (closing_) {
         connection->close_after_next_request();
     }
@@ -87,14 +89,14 @@
 // the oldest incomplete request is the least likely to be one of them.
 bool caller_server::reclaim(const memory_use use) {
     const auto now = loop_.now().steady;
-    auto* victim = use == memory_use::large
-                       ? find_oldest(
-                             [](const caller_connection& connection) {
-                                 return connection.incomplete_since() ? std::optional{connection.last_progress()}
-                                                                      : std::nullopt;
-                             },
-                             now - min_stall)
-                       : find_oldest(&caller_connection::incomplete_since, now);
+    auto* victim =
+        use == memory_use::large
+            ? find_oldest(
+                  [](const caller_connection& connection) {
+                      return connection.incomplete_since() ? std::optional{connection.last_progress()} : std::nullopt;
+                  },
+                  now - min_stall)
+            : find_oldest(&caller_connection::incomplete_since, now);
     if (victim == nullptr && use == memory_use::small) {
         victim = find_oldest(&caller_connection::idle_since, now);
     }
--- a/src/goldcrestwell/shell/http_connection.cpp
+++ b/src/goldcrestwell/shell/http_connection.cpp
@@ -70,10 +70,14 @@
     : http_connection{loop, std::move(server), http_connection_options{.max_response_bytes = max_response_bytes}} {}
 
 http_connection::http_connection(event_loop& loop, endpoint server, http_connection_options options)
-    : loop_{loop}, server_{std::move(server)}, options_{std::move(options)},
-      parser_{{.max_body_bytes = options_.max_response_bytes, .memory = options_.memory, .counts_as_small = options_.counts_as_small}}, timeout_{loop, [this](time_sample) {
-                                                                            on_timeout();
-                                                                        }} {}
+    : loop_{loop}, server_{std::move(server)}, options_{std::move(options)}, parser_{{.max_body_bytes =
+                                                                                          options_.max_response_bytes,
+                                                                                      .memory = options_.memory,
+                                                                                      .counts_as_small =
+                                                                                          options_.counts_as_small}},
+      timeout_{loop, [this](time_sample) {
+                   on_timeout();
+               }} {}
 
 http_connection::~http_connection() {
     cancel();
--- a/src/goldcrestwell/shell/http_headers.cpp
+++ b/src/goldcrestwell/shell/http_headers.cpp
@@ -1,8 +1,5 @@
 #include "goldcrestwell/shell/http_headers.hpp"
 
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -39,22 +36,4 @@
     return found->value;
 }
 
-void copy_headers(const std::vector<http_header>& headers, evkeyvalq* to) {
-    for (const auto& header : headers) {
-        if (!is_hop_by_hop(header.name)) {
-            evhttp_add_header(to, header.name.c_str(), header.value.c_str());
-        }
-    }
-}
-
-std::vector<http_header> copy_headers(const evkeyvalq* from) {
-    std::vector<http_header> headers;
-    for (const auto* entry = from->tqh_first; entry != nullptr; entry = entry->next.tqe_next) {
-        if (!is_hop_by_hop(entry->key)) {
-            headers.push_back({.name = entry->key, .value = entry->value});
-        }
-    }
-    return headers;
-}
-
 } // namespace goldcrestwell
--- a/src/goldcrestwell/shell/http_headers.hpp
+++ b/src/goldcrestwell/shell/http_headers.hpp
@@ -7,8 +7,6 @@
 #include <string_view>
 #include <vector>
 
-struct evkeyvalq;
-
 namespace goldcrestwell {
 
 /** @brief Checks whether a header is hop-by-hop: valid for one connection only and not forwarded. */
@@ -21,12 +19,6 @@
 [[nodiscard]] std::optional<std::string_view> find_header(const std::vector<http_header>& headers,
                                                           std::string_view name) noexcept;
 
-/** @brief Copies headers into a libevent list, except hop-by-hop headers. */
-void copy_headers(const std::vector<http_header>& headers, evkeyvalq* to);
-
-/** @brief Returns the headers of a libevent list, except hop-by-hop headers. */
-[[nodiscard]] std::vector<http_header> copy_headers(const evkeyvalq* from);
-
 } // namespace goldcrestwell
 
 #endif
--- a/src/goldcrestwell/shell/http_method.cpp
+++ b/src/goldcrestwell/shell/http_method.cpp
@@ -21,15 +21,6 @@
 
 } // namespace
 
-std::optional<std::string_view> method_name(const evhttp_cmd_type type) noexcept {
-    for (const auto& method : served_methods) {
-        if (method.type == type) {
-            return method.name;
-        }
-    }
-    return std::nullopt;
-}
-
 std::optional<evhttp_cmd_type> method_type(const std::string_view name) noexcept {
     for (const auto& method : served_methods) {
         if (method.name == name) {
--- a/src/goldcrestwell/shell/http_method.hpp
+++ b/src/goldcrestwell/shell/http_method.hpp
@@ -8,10 +8,7 @@
 
 namespace goldcrestwell {
 
-/** @brief Returns the name of a libevent method, or nothing if the method is not served. */
-[[nodiscard]] std::optional<std::string_view> method_name(evhttp_cmd_type type) noexcept;
-
-/** @brief Returns the libevent method with the given name, or nothing if it is not served. */
+/** @brief Returns the libevent method with the given name, or nothing if there is none. */
 [[nodiscard]] std::optional<evhttp_cmd_type> method_type(std::string_view name) noexcept;
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/shell/metrics_text.cpp
+++ b/src/goldcrestwell/shell/metrics_text.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestwell/shell/metrics_text.hpp"
 
+#include "goldcrestwell/core/common/memory_budget.hpp"
 #include "goldcrestwell/core/node/node.hpp"
 
 #include <algorithm>
@@ -126,7 +127,7 @@
 
 } // namespace
 
-std::string metrics_text(const node& core, const process_usage& usage) {
+std::string metrics_text(const node& core, const process_usage& usage, const memory_budget* memory) {
     metrics_writer writer;
     writer.write_metric("ready", "gauge", "1 if the node serves calls.", core.ready() ? 1 : 0);
     writer.write_metric("config_position", "gauge", "Offset of the last log record that was read.",
@@ -139,6 +140,13 @@
     writer.declare("process_seconds_total", "counter", "Processor time used by this process.");
     writer.value("process_seconds_total", "", format_seconds(usage.processor_time));
     writer.write_metric("process_peak_memory_bytes", "gauge", "Peak resident memory.", usage.peak_memory_bytes);
+    if (memory != nullptr) {
+        writer.write_metric("buffer_memory_limit_bytes", "gauge", "Memory for buffers.", memory->capacity());
+        writer.write_metric("buffer_memory_bytes", "gauge", "Memory reserved for buffers.", memory->used());
+        writer.write_metric("buffer_memory_peak_bytes", "gauge", "Peak memory reserved for buffers.", memory->peak());
+        writer.write_metric("buffer_memory_refusals_total", "counter", "Refused reservations of memory for buffers.",
+                            memory->refusals());
+    }
     return writer.take();
 }
 
--- a/src/goldcrestwell/shell/metrics_text.hpp
+++ b/src/goldcrestwell/shell/metrics_text.hpp
@@ -1,6 +1,7 @@
 #ifndef GOLDCRESTWELL_SHELL_METRICS_TEXT_HPP
 #define GOLDCRESTWELL_SHELL_METRICS_TEXT_HPP
 
+#include "goldcrestwell/core/common/fwd.hpp"
 #include "goldcrestwell/core/node/fwd.hpp"
 #include "goldcrestwell/shell/process_usage.hpp"
 
@@ -8,8 +9,11 @@
 
 namespace goldcrestwell {
 
-/** @brief Returns the metrics of a node in the Prometheus text format. */
-[[nodiscard]] std::string metrics_text(const node& core, const process_usage& usage);
+/**
+ * @brief Returns the metrics of a node in the Prometheus text format.
+ * @param memory Budget of the buffers, or null if there is none.
+ */
+[[nodiscard]] std::string metrics_text(const node& core, const process_usage& usage, const memory_budget* memory);
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -52,22 +52,22 @@
                    [this](const drop_reason reason) {
                        core_.counts().drops.add(reason);
                    }}},
-      peers_{loop, make_peer_options()},
-      log_{loop, with_changes(options_.log,
-                              [this](log_client_options& log) {
-                                  log.memory = options_.memory;
-                                  log.on_batch = [this](const record_batch& batch) {
-                                      core_.on_log_batch(batch, loop_.now());
-                                  };
-                                  log.on_read_failed = [this] {
-                                      core_.on_log_failure(loop_.now());
-                                  };
-                                  log.on_appended = [](const bool confirmed) {
-                                      if (!confirmed) {
-                                          write_log(log_level::warning, "append_unconfirmed");
-                                      }
-                                  };
-                              })},
+      peers_{loop, make_peer_options()}, log_{loop, with_changes(options_.log,
+                                                                 [this](log_client_options& log) {
+                                                                     log.memory = options_.memory;
+                                                                     log.on_batch = [this](const record_batch& batch) {
+                                                                         core_.on_log_batch(batch, loop_.now());
+                                                                     };
+                                                                     log.on_read_failed = [this] {
+                                                                         core_.on_log_failure(loop_.now());
+                                                                     };
+                                                                     log.on_appended = [](const bool confirmed) {
+                                                                         if (!confirmed) {
+                                                                             write_log(log_level::warning,
+                                                                                       "append_unconfirmed");
+                                                                         }
+                                                                     };
+                                                                 })},
       upstream_{loop, with_changes(options_.upstream,
                                    [this](upstream_client_options& upstream) {
                                        upstream.memory = options_.memory;
@@ -77,9 +77,8 @@
                                        };
                                    })},
       core_{with_hooks(options_.core)}, callers_{loop, core_, make_caller_options()},
-      admin_{loop, core_, upstream_, with_changes(options_.admin, [this](http_server_options& admin) {
-                 admin.memory = options_.memory;
-             })} {
+      admin_{loop, core_, upstream_,
+             with_changes(options_.admin, [this](http_server_options& admin) { admin.memory = options_.memory; })} {
     if (options_.memory) {
         options_.memory->on_shortage(
             [this](const memory_use use) { return callers_.reclaim(use) || peers_.reclaim(); });
@@ -93,22 +92,21 @@
 }
 
 peer_transport_options node_process::make_peer_options() {
-    return {.self = options_.core.self,
-            .start_incarnation = options_.core.start_incarnation,
-            .max_connections = options_.max_peer_connections,
-            .memory = options_.memory,
-            .on_message = [this](const node_id from,
-                                 const peer_message& message) { core_.on_peer_message(from, message, loop_.now()); },
-            .on_oversized =
-                [this](const node_id from, const peer_message& message) {
-                    core_.on_oversized_message(from, message, loop_.now());
-                },
-            .on_lost = [this](const node_id peer) { core_.on_peer_lost(peer, loop_.now()); },
-            .on_not_sent = [this](const attempt_id& id) { core_.on_attempt_not_sent(id, loop_.now()); },
-            .on_drop =
-                [this](const drop_reason reason) {
-                    core_.counts().drops.add(reason);
-                }};
+    return {
+        .self = options_.core.self,
+        .start_incarnation = options_.core.start_incarnation,
+        .max_connections = options_.max_peer_connections,
+        .memory = options_.memory,
+        .on_message = [this](const node_id from,
+                             const peer_message& message) { core_.on_peer_message(from, message, loop_.now()); },
+        .on_oversized = [this](const node_id from,
+                               const peer_message& message) { core_.on_oversized_message(from, message, loop_.now()); },
+        .on_lost = [this](const node_id peer) { core_.on_peer_lost(peer, loop_.now()); },
+        .on_not_sent = [this](const attempt_id& id) { core_.on_attempt_not_sent(id, loop_.now()); },
+        .on_drop =
+            [this](const drop_reason reason) {
+                core_.counts().drops.add(reason);
+            }};
 }
 
 caller_listener_options node_process::make_caller_options() {
--- a/src/goldcrestwell/shell/peer_connection.cpp
+++ b/src/goldcrestwell/shell/peer_connection.cpp
@@ -36,8 +36,8 @@
 }
 
 peer_connection::peer_connection(event_loop& loop, const endpoint& peer, peer_connection_options options)
-    : options_{std::move(options)}, splitter_{options_.max_frame_bytes, memory_reservation{options_.memory}}, handle_{bufferevent_socket_new(loop.base(), -1,
-                                                               BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)} {
+    : options_{std::move(options)}, splitter_{options_.max_frame_bytes, memory_reservation{options_.memory}},
+      handle_{bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)} {
     install_callbacks();
     auto address = to_address(peer);
     bufferevent_socket_connect(handle_.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address));
@@ -46,8 +46,8 @@
 }
 
 peer_connection::peer_connection(event_loop& loop, const int descriptor, peer_connection_options options)
-    : options_{std::move(options)}, splitter_{options_.max_frame_bytes, memory_reservation{options_.memory}}, handle_{bufferevent_socket_new(loop.base(), descriptor,
-                                                               BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)} {
+    : options_{std::move(options)}, splitter_{options_.max_frame_bytes, memory_reservation{options_.memory}},
+      handle_{bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)} {
     install_callbacks();
     tune_stream(descriptor);
     limit_unsent_bytes(descriptor);
--- a/src/goldcrestwell/shell/peer_transport.cpp
+++ b/src/goldcrestwell/shell/peer_transport.cpp
@@ -224,7 +224,8 @@
     auto oldest = loop_.now().steady - min_stall;
     std::optional<link_number> found;
     for (const auto& [number, entry] : links_) {
-        const auto holds_memory = entry.incoming.reserved_bytes() > 0 || entry.connection->incomplete_bytes() > link_memory;
+        const auto holds_memory =
+            entry.incoming.reserved_bytes() > 0 || entry.connection->incomplete_bytes() > link_memory;
         if (holds_memory && !entry.connection->reading() && entry.last_used <= oldest) {
             oldest = entry.last_used;
             found = number;
--- a/src/goldcrestwell/shell/peer_transport.hpp
+++ b/src/goldcrestwell/shell/peer_transport.hpp
@@ -48,8 +48,8 @@
 /**
  * @brief Exchanges frames with other nodes over TCP.
  *
- * Two nodes normally share one connection, which the node that sends first opens. Messages with a large body are sent in
- * parts, so that they delay other messages little and each node holds their body once.
+ * Two nodes normally share one connection, which the node that sends first opens. Messages with a large body are sent
+ * in parts, so that they delay other messages little and each node holds their body once.
  */
 class peer_transport {
 public:
--- a/src/goldcrestwell/shell/peer_transport_messages.cpp
+++ b/src/goldcrestwell/shell/peer_transport_messages.cpp
@@ -114,9 +114,8 @@
 }
 
 void peer_transport::abort_transfer(link& target, const attempt_id& id) {
-    const auto found = std::ranges::find_if(target.outgoing, [&id](const outgoing_transfer& transfer) {
-        return transfer.is_request && transfer.id == id;
-    });
+    const auto found = std::ranges::find_if(
+        target.outgoing, [&id](const outgoing_transfer& transfer) { return transfer.is_request && transfer.id == id; });
     if (found != target.outgoing.end()) {
         target.connection->send(encode_transfer_abort(found->number));
         target.outgoing.erase(found);
--- a/src/goldcrestwell/shell/socket_options.hpp
+++ b/src/goldcrestwell/shell/socket_options.hpp
@@ -9,7 +9,8 @@
 /** @brief Disables Nagle's algorithm and makes the kernel detect an unresponsive peer within about two seconds. */
 void tune_stream(int descriptor) noexcept;
 
-/** @brief Limits the bytes that the kernel holds for a peer before it sends them, so that small frames are not delayed. */
+/** @brief Limits the bytes that the kernel holds for a peer before it sends them, so that small frames are not delayed.
+ */
 void limit_unsent_bytes(int descriptor) noexcept;
 
 /** @brief Limits the received bytes that the kernel holds for a socket of a caller. */
--- a/src/goldcrestwell/shell/stream_listener.cpp
+++ b/src/goldcrestwell/shell/stream_listener.cpp
@@ -20,10 +20,10 @@
 }
 
 stream_listener::stream_listener(event_loop& loop, endpoint address, std::function<void(int descriptor)> on_accept)
-    : loop_{loop}, address_{std::move(address)}, on_accept_{std::move(on_accept)}, resume_timer_{loop, [this](time_sample) {
-                                                                                                     evconnlistener_enable(
-                                                                                                         handle_.get());
-                                                                                                 }} {}
+    : loop_{loop}, address_{std::move(address)}, on_accept_{std::move(on_accept)},
+      resume_timer_{loop, [this](time_sample) {
+                        evconnlistener_enable(handle_.get());
+                    }} {}
 
 bool stream_listener::start() {
     sockaddr_in address{};
@@ -36,7 +36,8 @@
                              int /*unused*/, void* argument) {
         static_cast<stream_listener*>(argument)->on_accept_(descriptor);
     };
-    handle_.reset(evconnlistener_new_bind(loop_.base(), accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+    handle_.reset(evconnlistener_new_bind(loop_.base(), accepted, this,
+                                          LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
                                           listen_backlog, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
     if (!handle_) {
         return false;
--- a/test/crowd/connections.cpp
+++ b/test/crowd/connections.cpp
@@ -57,7 +57,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(silent_connections_to_the_ports_of_the_platform) {
-    for (const auto port : {cluster.front().ready_port, cluster.front().announcement_port, cluster.front().admin_port}) {
+    for (const auto port :
+         {cluster.front().ready_port, cluster.front().announcement_port, cluster.front().admin_port}) {
         const auto clients = cluster.connect(port, crowd_size);
         cluster.run_for(milliseconds{1'000});
         cluster.check_survival();
--- a/test/crowd/crowd_cluster.cpp
+++ b/test/crowd/crowd_cluster.cpp
@@ -104,25 +104,25 @@
                                       handler_(exchange);
                                   }});
     BOOST_REQUIRE(target.upstream->start());
-    const nlohmann::json settings{
-        {"host", "127.0.0.1"},
-        {"peer_port", target.peer_port},
-        {"data_centre", "north"},
-        {"region", "here"},
-        {"caller_listener", local_address(target.caller_port)},
-        {"ready_listener", local_address(target.ready_port)},
-        {"announcement_listener", local_address(target.announcement_port)},
-        {"admin_listener", local_address(target.admin_port)},
-        {"upstream",
-         {{"service", service},
-          {"address", local_address(target.upstream_port)},
-          {"announcement_interval_ms", announcement_interval.count()}}},
-        {"store", {{"address", local_address(store_port_)}}},
-        {"limits", {{"memory_mb", options_.memory_mb}, {"max_fds", options_.max_fds}}}};
+    const nlohmann::json settings{{"host", "127.0.0.1"},
+                                  {"peer_port", target.peer_port},
+                                  {"data_centre", "north"},
+                                  {"region", "here"},
+                                  {"caller_listener", local_address(target.caller_port)},
+                                  {"ready_listener", local_address(target.ready_port)},
+                                  {"announcement_listener", local_address(target.announcement_port)},
+                                  {"admin_listener", local_address(target.admin_port)},
+                                  {"upstream",
+                                   {{"service", service},
+                                    {"address", local_address(target.upstream_port)},
+                                    {"announcement_interval_ms", announcement_interval.count()}}},
+                                  {"store", {{"address", local_address(store_port_)}}},
+                                  {"limits", {{"memory_mb", options_.memory_mb}, {"max_fds", options_.max_fds}}}};
     const auto path = directory_ / (service + ".json");
     std::ofstream{path} << settings.dump(2);
-    target.process = std::make_unique<child_process>(
-        std::vector<std::string>{GOLDCRESTWELL_PROGRAM, "sidecar", "--settings", path}, directory_ / (service + ".log"));
+    target.process =
+        std::make_unique<child_process>(std::vector<std::string>{GOLDCRESTWELL_PROGRAM, "sidecar", "--settings", path},
+                                        directory_ / (service + ".log"));
 }
 
 void crowd_cluster::announce(host& target) {
@@ -152,9 +152,9 @@
 
 void crowd_cluster::write_config() {
     const auto route = [](const std::string& path, const std::string& kind) {
-        return nlohmann::json{{"host", "shop.example"}, {"path_prefix", path},         {"route_kind", kind},
-                              {"timeout_ms", 20'000},   {"target_latency_ms", 10'000}, {"priority", 1},
-                              {"service", "orders"},    {"max_attempts", 2}};
+        return nlohmann::json{
+            {"host", "shop.example"},      {"path_prefix", path}, {"route_kind", kind},  {"timeout_ms", 20'000},
+            {"target_latency_ms", 10'000}, {"priority", 1},       {"service", "orders"}, {"max_attempts", 2}};
     };
     const nlohmann::json config{
         {"version", 1},
--- a/test/crowd/legal_sizes.cpp
+++ b/test/crowd/legal_sizes.cpp
@@ -47,9 +47,9 @@
 
 BOOST_AUTO_TEST_CASE(single_requests_are_served) {
     crowd_cluster cluster;
-    for (const auto size : {std::size_t{0}, std::size_t{1}, 16 * kibibyte, 64 * kibibyte - 1, 64 * kibibyte,
-                            64 * kibibyte + 1, 256 * kibibyte, mebibyte, 3 * mebibyte + 7, 8 * mebibyte - 1,
-                            8 * mebibyte}) {
+    for (const auto size :
+         {std::size_t{0}, std::size_t{1}, 16 * kibibyte, 64 * kibibyte - 1, 64 * kibibyte, 64 * kibibyte + 1,
+          256 * kibibyte, mebibyte, 3 * mebibyte + 7, 8 * mebibyte - 1, 8 * mebibyte}) {
         const std::string body(size, 'b');
         for (const auto* target : {&cluster.front(), &cluster.back()}) {
             BOOST_TEST_CONTEXT(size << " bytes by way of " << target->service) {
--- a/test/crowd/responses.cpp
+++ b/test/crowd/responses.cpp
@@ -53,7 +53,8 @@
 BOOST_AUTO_TEST_CASE(large_responses_at_once) {
     const auto clients = send_reads("large-");
     BOOST_TEST(cluster.wait_for([&clients] {
-        return std::ranges::all_of(clients, [](const auto& client) { return client->closed() || client->status() != 0; });
+        return std::ranges::all_of(clients,
+                                   [](const auto& client) { return client->closed() || client->status() != 0; });
     }));
     cluster.check_survival();
 }
@@ -85,31 +86,32 @@
 
 BOOST_AUTO_TEST_CASE(upstream_bodies_without_end) {
     cluster.stop_upstream();
-    const raw_upstream upstream{
-        cluster.loop, cluster.back().upstream_port, [](const std::string& id, const raw_upstream::connection& from) {
-            const auto head = "HTTP/1.1 200 OK\r\nGoldcrestwell-Request-Id: " + id +
-                              "\r\nGoldcrestwell-Response-Signature: signed\r\n";
-            if (id.starts_with("ordinary")) {
-                from.write(head + "Content-Length: 4\r\n\r\n1200");
-            } else {
-                from.write(head + "\r\n");
-                from.write_without_end(std::string(65'536, 'e'));
-            }
-        }};
+    const raw_upstream upstream{cluster.loop, cluster.back().upstream_port,
+                                [](const std::string& id, const raw_upstream::connection& from) {
+                                    const auto head = "HTTP/1.1 200 OK\r\nGoldcrestwell-Request-Id: " + id +
+                                                      "\r\nGoldcrestwell-Response-Signature: signed\r\n";
+                                    if (id.starts_with("ordinary")) {
+                                        from.write(head + "Content-Length: 4\r\n\r\n1200");
+                                    } else {
+                                        from.write(head + "\r\n");
+                                        from.write_without_end(std::string(65'536, 'e'));
+                                    }
+                                }};
     const auto clients = send_reads("endless-");
     BOOST_TEST(cluster.wait_for([&clients] {
-        return std::ranges::all_of(clients, [](const auto& client) { return client->closed() || client->status() != 0; });
+        return std::ranges::all_of(clients,
+                                   [](const auto& client) { return client->closed() || client->status() != 0; });
     }));
     cluster.check_survival();
 }
 
 BOOST_AUTO_TEST_CASE(store_bodies_without_end) {
     cluster.stop_store();
-    const raw_upstream store{
-        cluster.loop, cluster.store_port(), [](const std::string&, const raw_upstream::connection& from) {
-            from.write("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n");
-            from.write_without_end(std::string(65'536, 'e'));
-        }};
+    const raw_upstream store{cluster.loop, cluster.store_port(),
+                             [](const std::string&, const raw_upstream::connection& from) {
+                                 from.write("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n");
+                                 from.write_without_end(std::string(65'536, 'e'));
+                             }};
     cluster.run_for(milliseconds{6'000});
     BOOST_TEST(store.requests() > 0U);
     cluster.check_survival();
@@ -117,11 +119,11 @@
 
 BOOST_AUTO_TEST_CASE(store_bodies_without_a_length) {
     cluster.stop_store();
-    const raw_upstream store{
-        cluster.loop, cluster.store_port(), [](const std::string&, const raw_upstream::connection& from) {
-            from.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            from.write_without_end("10000\r\n" + std::string(65'536, 'e') + "\r\n");
-        }};
+    const raw_upstream store{cluster.loop, cluster.store_port(),
+                             [](const std::string&, const raw_upstream::connection& from) {
+                                 from.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                                 from.write_without_end("10000\r\n" + std::string(65'536, 'e') + "\r\n");
+                             }};
     cluster.run_for(milliseconds{6'000});
     BOOST_TEST(store.requests() > 0U);
     cluster.check_survival();
--- a/test/crowd/uploads.cpp
+++ b/test/crowd/uploads.cpp
@@ -1,5 +1,5 @@
-// Crowds of callers that upload large bodies. Each process must stay within the memory of its host, and ordinary callers
-// must still get responses.
+// Crowds of callers that upload large bodies. Each process must stay within the memory of its host, and ordinary
+// callers must still get responses.
 
 #include "crowd/crowd_cluster.hpp"
 
--- a/test/platform/response_faults.cpp
+++ b/test/platform/response_faults.cpp
@@ -197,8 +197,8 @@
     BOOST_TEST(post("id-9").body == "body of id-9");
 }
 
-// Guards against a response without a length that is reset while the request is still being written. libevent then reports
-// both the error of the write and the end of the stream.
+// Guards against a response without a length that is reset while the request is still being written. libevent then
+// reports both the error of the write and the end of the stream.
 BOOST_AUTO_TEST_CASE(response_reset_during_the_upload_is_no_success) {
     constexpr std::size_t upload_bytes = std::size_t{16} << 20U;
     cluster.write_config(4, "orders", "/read/", upload_bytes);
@@ -226,7 +226,8 @@
         const auto head = head_of(id, "Content-Length: 4\r\n");
         from.write("HTTP/1.1 " + status + head.substr(std::string_view{"HTTP/1.1 200"}.size()) + "body");
     });
-    for (const auto* invalid : {"000", "001", "099", "20", "2", "0200", "2000", "600", "999", "2x0", "-20", "+200", ""}) {
+    for (const auto* invalid :
+         {"000", "001", "099", "20", "2", "0200", "2000", "600", "999", "2x0", "-20", "+200", ""}) {
         status = invalid;
         BOOST_TEST_CONTEXT("status " << status) {
             renew();
@@ -247,11 +248,28 @@
                    (is_chunked ? "4\r\nbody\r\n0\r\n\r\n" : "body"));
     });
     using namespace std::string_literals;
-    for (const auto& invalid :
-         {"X Y: 1"s, "X : 1"s, " X: 1"s, "\tX: 1"s, "X\tY: 1"s, "X\x01Y: 1"s, "X\0Y: 1"s, "\x0bX: 1"s, "X\x7f: 1"s,
-          "X\xe9: 1"s, "X\x0b: 1"s, "Content-Length : 2"s, "Content-Length\t: 2"s, "X(Y): 1"s, "X: 1\x01"s, "X: \0"s,
-          "X: a\rb"s, "X"s, ": 1"s, "Transfer-Encoding : chunked"s, "Transfer-Encoding\x0b: chunked"s,
-          "Transfer-Encoding: gzip, chunked"s}) {
+    for (const auto& invalid : {"X Y: 1"s,
+                                "X : 1"s,
+                                " X: 1"s,
+                                "\tX: 1"s,
+                                "X\tY: 1"s,
+                                "X\x01Y: 1"s,
+                                "X\0Y: 1"s,
+                                "\x0bX: 1"s,
+                                "X\x7f: 1"s,
+                                "X\xe9: 1"s,
+                                "X\x0b: 1"s,
+                                "Content-Length : 2"s,
+                                "Content-Length\t: 2"s,
+                                "X(Y): 1"s,
+                                "X: 1\x01"s,
+                                "X: \0"s,
+                                "X: a\rb"s,
+                                "X"s,
+                                ": 1"s,
+                                "Transfer-Encoding : chunked"s,
+                                "Transfer-Encoding\x0b: chunked"s,
+                                "Transfer-Encoding: gzip, chunked"s}) {
         line = invalid;
         BOOST_TEST_CONTEXT("line " << line) {
             renew();
--- a/test/system/test_cluster.cpp
+++ b/test/system/test_cluster.cpp
@@ -262,8 +262,9 @@
 
 std::string test_cluster::get(const std::uint16_t port, const std::string& target) {
     const auto result = loop_.request(port, {.target = target, .timeout = request_timeout});
-    return result.outcome == upstream_outcome::answered && result.response.status == status_ok ? result.response.body.str()
-                                                                                               : "";
+    return result.outcome == upstream_outcome::answered && result.response.status == status_ok
+               ? result.response.body.str()
+               : "";
 }
 
 bool test_cluster::post(const std::uint16_t port, const std::string& target) {
