Bound the ids of ended attempts by the memory of the host

Cause: a ledger kept up to 1,000,000 ids of 100 bytes each for two minutes, 100 MB, on hosts of 160 MB.

Change: the ids get a quarter of the memory that is not for buffers, about 125,000 on the smallest host: 1,000 attempts a second for two minutes.

--- a/src/goldcrestwell/cli/resource_options.cpp
+++ b/src/goldcrestwell/cli/resource_options.cpp
@@ -19,6 +19,7 @@
     options.memory = std::make_shared<memory_budget>(memory_budget_options{.capacity_bytes = shares.buffer_bytes,
                                                                            .small_use_bytes = shares.small_buffer_bytes,
                                                                            .trim = release_free_memory});
+    options.core.max_attempt_ids = shares.attempt_ids;
     options.core.max_archived_response_bytes = shares.archive_bytes;
     options.callers.server.max_connections = shares.caller_connections;
     options.admin.max_connections = shares.service_connections;
--- a/src/goldcrestwell/core/node/node_options.hpp
+++ b/src/goldcrestwell/core/node/node_options.hpp
@@ -65,6 +65,8 @@
     call_options calls;
     rollout_options rollouts;
     follower_options log;
+    /** @brief Maximum number of ids of ended attempts; new attempts are refused when it is reached. */
+    std::size_t max_attempt_ids{1'000'000};
     /** @brief Maximum size of the stored responses of ended attempts, in bytes. */
     std::size_t max_archived_response_bytes{std::size_t{32} << 20U};
     /** @brief Time without an announcement after which the upstream is removed. */
--- a/src/goldcrestwell/core/node/node_wiring.cpp
+++ b/src/goldcrestwell/core/node/node_wiring.cpp
@@ -114,6 +114,7 @@
 attempt_ledger_options node::make_ledger_options() {
     return {.self = options_.self,
             .start_incarnation = options_.start_incarnation,
+            .max_ids = options_.max_attempt_ids,
             .max_response_bytes = options_.max_archived_response_bytes,
             .min_retry_after = options_.calls.min_retry_after,
             .send = [this](const node_id to, const peer_message& message) { send_call_frame(to, message); },
--- a/src/goldcrestwell/core/node/resource_shares.cpp
+++ b/src/goldcrestwell/core/node/resource_shares.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t small_buffer_divisor = 4;
 constexpr std::size_t archive_divisor = 8;
 constexpr std::size_t max_archive_bytes = std::size_t{32} << 20U;
+constexpr std::size_t id_memory_divisor = 4;
+constexpr std::size_t id_bytes = 100;
+constexpr std::size_t max_attempt_ids = 1'000'000;
 // Connections of callers take at most half of the memory for buffers.
 constexpr std::size_t connection_memory_divisor = 2;
 constexpr std::size_t caller_connection_bytes = std::size_t{64} << 10U;
@@ -34,6 +37,7 @@
     return {.buffer_bytes = buffers,
             .small_buffer_bytes = buffers / small_buffer_divisor,
             .archive_bytes = std::min(buffers / archive_divisor, max_archive_bytes),
+            .attempt_ids = std::min(base / id_memory_divisor / id_bytes, max_attempt_ids),
             .caller_connections =
                 std::min({sockets / caller_divisor, max_caller_connections,
                           std::max<std::size_t>(buffers / connection_memory_divisor / caller_connection_bytes, 1)}),
--- a/src/goldcrestwell/core/node/resource_shares.hpp
+++ b/src/goldcrestwell/core/node/resource_shares.hpp
@@ -13,6 +13,8 @@
     std::size_t small_buffer_bytes{};
     /** @brief Part of the memory for buffers that stored responses of ended attempts may take, in bytes. */
     std::size_t archive_bytes{};
+    /** @brief Ids of ended attempts; they are not part of the memory for buffers. */
+    std::size_t attempt_ids{};
     std::size_t caller_connections{};
     std::size_t peer_connections{};
     std::size_t upstream_connections{};
