--- a/src/goldcrestwell/codec/node_settings.hpp
+++ b/src/goldcrestwell/codec/node_settings.hpp
@@ -70,6 +70,11 @@
     std::chrono::milliseconds evidence_interval{1'000};
 };
 
+inline constexpr std::size_t min_memory_mb = 64;
+inline constexpr std::size_t max_memory_mb = 1'000'000;
+inline constexpr std::size_t min_descriptors = 256;
+inline constexpr std::size_t max_descriptors = 1'000'000;
+
 /** @brief Resources of the host that the process may use. */
 struct resource_settings {
     /** @brief Maximum resident memory in units of 1,000,000 bytes. */
--- a/src/goldcrestwell/codec/settings_walker.cpp
+++ b/src/goldcrestwell/codec/settings_walker.cpp
@@ -10,10 +10,6 @@
 constexpr std::size_t max_setting_name_bytes = 64;
 constexpr std::size_t max_setting_text_bytes = 1024;
 constexpr std::size_t max_endpoint_count = 64;
-constexpr std::uint64_t min_memory_mb = 64;
-constexpr std::uint64_t max_memory_mb = 1'000'000;
-constexpr std::uint64_t min_fds = 256;
-constexpr std::uint64_t max_fds = 1'000'000;
 constexpr std::array<std::string_view, 4> level_names{"debug", "info", "warning", "error"};
 constexpr std::string_view name_range = "1 to 64 letters, digits, dots, hyphens or underscores";
 constexpr std::string_view address_range = "IPv4 address";
@@ -129,7 +125,7 @@
 void settings_walker::limits(resource_settings& to) {
     enter("limits");
     number("memory_mb", "MB", min_memory_mb, max_memory_mb, to.memory_mb);
-    number("max_fds", "descriptors", min_fds, max_fds, to.max_fds);
+    number("max_fds", "descriptors", min_descriptors, max_descriptors, to.max_fds);
 }
 
 void settings_walker::name(const std::string_view key, std::string& to, const presence key_presence) {
--- a/src/goldcrestwell/codec/sidecar_settings.hpp
+++ b/src/goldcrestwell/codec/sidecar_settings.hpp
@@ -44,7 +44,8 @@
     std::chrono::seconds shutdown_timeout{6};
     /** @brief Retries allowed to all nodes together per window, in addition to their share of the calls. */
     std::uint32_t retry_extra{60};
-    resource_settings limits;
+    /** @brief Resources of the process; the default memory is that of the smallest hosts of the platform's users. */
+    resource_settings limits{.memory_mb = 160};
     membership_settings membership;
     logging_settings logging;
 };
