Count the pages of a read of the store against the budget

What would be seen: a store whose pages never end, or another writer's many keys in a topic of the nodes, fills the memory of every node that reads it.

Cause: the records of all pages of a read are collected before they are used, and only each page had a limit.

Change: a read reserves the size of each page until its end and fails like any other read if there is no memory. The list of idle links is collected before they are closed, because the hook that reports a lost peer may close another one.

--- a/src/goldcrestwell/platform/store_client.cpp
+++ b/src/goldcrestwell/platform/store_client.cpp
@@ -38,22 +38,24 @@
     : loop_{loop}, options_{std::move(options)} {}
 
 void store_client::read_newest(const std::string_view topic, page_hook done) {
-    read_newest_page(std::string{topic}, {.outcome = read_outcome::ok}, {}, std::move(done));
+    read_newest_page(std::string{topic}, {.outcome = read_outcome::ok}, {},
+                     std::make_shared<memory_reservation>(options_.memory), std::move(done));
 }
 
 // The result has the end position of the first page, so that records written while further pages are read are not
 // skipped by the next read.
 void store_client::read_newest_page(std::string topic, store_page collected, const std::string& after_key,
-                                    page_hook done) {
+                                    std::shared_ptr<memory_reservation> memory, page_hook done) {
     auto target = request_target(platform_names::newest_path, topic);
     if (!after_key.empty()) {
         target.append("&after=").append(encode_uri(after_key));
     }
     enqueue({.target = std::move(target), .timeout = options_.timeout},
-            [this, topic = std::move(topic), collected = std::move(collected), after_key,
+            [this, topic = std::move(topic), collected = std::move(collected), after_key, memory = std::move(memory),
              done = std::move(done)](const upstream_result& result) mutable {
                 auto page = has_status(result, status_ok) ? decode_newest_page(result.response.body) : std::nullopt;
-                if (!page) {
+                // The pages that were read before stay in memory until the last one has arrived.
+                if (!page || !memory->resize(memory->size() + result.response.body.size(), memory_use::small)) {
                     done({.outcome = read_outcome::failed});
                     return;
                 }
@@ -65,7 +67,8 @@
                                          std::make_move_iterator(page->records.end()));
                 // A page that does not advance would be read for ever.
                 if (!page->next_after.empty() && page->next_after != after_key) {
-                    read_newest_page(std::move(topic), std::move(collected), page->next_after, std::move(done));
+                    read_newest_page(std::move(topic), std::move(collected), page->next_after, std::move(memory),
+                                     std::move(done));
                     return;
                 }
                 done(collected);
--- a/src/goldcrestwell/platform/store_client.hpp
+++ b/src/goldcrestwell/platform/store_client.hpp
@@ -1,6 +1,7 @@
 #ifndef GOLDCRESTWELL_PLATFORM_STORE_CLIENT_HPP
 #define GOLDCRESTWELL_PLATFORM_STORE_CLIENT_HPP
 
+#include "goldcrestwell/core/common/memory_reservation.hpp"
 #include "goldcrestwell/core/config/store_page.hpp"
 #include "goldcrestwell/shell/endpoint.hpp"
 #include "goldcrestwell/shell/event_loop.hpp"
@@ -51,7 +52,9 @@
         result_hook done;
     };
 
-    void read_newest_page(std::string topic, store_page collected, const std::string& after_key, page_hook done);
+    /** @param memory Memory reserved for the pages collected so far. */
+    void read_newest_page(std::string topic, store_page collected, const std::string& after_key,
+                          std::shared_ptr<memory_reservation> memory, page_hook done);
     void report_skipped(std::string_view topic, std::size_t count) const;
     void enqueue(http_client_request request, result_hook done);
     void send_next_call();
--- a/src/goldcrestwell/shell/peer_transport.cpp
+++ b/src/goldcrestwell/shell/peer_transport.cpp
@@ -7,6 +7,7 @@
 #include <event2/util.h>
 
 #include <utility>
+#include <vector>
 
 namespace goldcrestwell {
 
@@ -239,12 +240,17 @@
 
 void peer_transport::close_idle() {
     const auto oldest_allowed_use = loop_.now().steady - options_.idle_timeout;
-    for (auto entry = links_.begin(); entry != links_.end();) {
-        const auto next = std::next(entry);
-        if (entry->second.last_used < oldest_allowed_use) {
-            handle_close(entry->first, codec_reason::none);
+    std::vector<link_number> idle;
+    for (const auto& [number, entry] : links_) {
+        if (entry.last_used < oldest_allowed_use) {
+            idle.push_back(number);
+        }
+    }
+    for (const auto number : idle) {
+        // The hook of an earlier one may have closed this one.
+        if (links_.contains(number)) {
+            handle_close(number, codec_reason::none);
         }
-        entry = next;
     }
     idle_check_.schedule_after(idle_check_interval);
 }
--- a/test/crowd/responses.cpp
+++ b/test/crowd/responses.cpp
@@ -4,6 +4,7 @@
 #include "platform/raw_upstream.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <string>
@@ -129,4 +130,32 @@
     cluster.check_survival();
 }
 
+// The store drops its history, so the nodes read the newest records, and each page says that there are more.
+BOOST_AUTO_TEST_CASE(store_pages_without_end) {
+    cluster.stop_store();
+    std::size_t pages = 0;
+    const auto serve = [&pages](const std::shared_ptr<http_exchange>& exchange) {
+        constexpr std::size_t records_per_page = 400;
+        if (exchange->path() != "/goldcrestwell/log-newest") {
+            exchange->reply({.status = 410, .body = "{\"first\":0}"});
+            return;
+        }
+        ++pages;
+        auto items = nlohmann::json::array();
+        for (std::size_t number = 0; number < records_per_page; ++number) {
+            items.push_back({{"key", "k" + std::to_string(pages * records_per_page + number)},
+                             {"value", std::string(8'000, 'A')},
+                             {"offset", number}});
+        }
+        const nlohmann::json page{{"items", std::move(items)}, {"more", true}, {"end", records_per_page}};
+        exchange->reply({.status = 200, .body = page.dump()});
+    };
+    http_server store{cluster.loop, {.port = cluster.store_port(), .on_request = serve}};
+    BOOST_REQUIRE(store.start());
+    // Nodes that give up a read wait before the next one, so this number is not always reached.
+    static_cast<void>(cluster.wait_for([&pages] { return pages > 120; }, std::chrono::seconds{10}));
+    BOOST_TEST(pages > 0U);
+    cluster.check_survival();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
