Multiply sizes of the crowds as sizes

Cause: the linter found products of int that were widened afterwards. Change: a constant of type std::size_t; the values are the same. Measured: the linter has no finding in the file.

--- a/test/crowd/uploads.cpp
+++ b/test/crowd/uploads.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr std::size_t kibibyte = 1'024;
 constexpr std::size_t body_bytes = std::size_t{8} << 20U;
 constexpr std::size_t crowd_size = 24;
 
@@ -69,7 +70,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(bodies_in_pieces_held_just_short_of_their_end) {
-    constexpr std::size_t piece_bytes = 256 * 1'024;
+    constexpr std::size_t piece_bytes = 256 * kibibyte;
     const auto clients = cluster.connect(cluster.front().caller_port, crowd_size);
     for (std::size_t number = 0; number < clients.size(); ++number) {
         clients[number]->write(upload_head("pieces-" + std::to_string(number), length_line(body_bytes)));
@@ -86,7 +87,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(large_chunks_without_the_last_one) {
-    const auto chunks = to_chunks(body_bytes, 256 * 1'024);
+    const auto chunks = to_chunks(body_bytes, 256 * kibibyte);
     const auto clients = cluster.connect(cluster.front().caller_port, crowd_size);
     for (std::size_t number = 0; number < clients.size(); ++number) {
         clients[number]->write(upload_head("large-" + std::to_string(number), "Transfer-Encoding: chunked"));
@@ -121,7 +122,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(bodies_far_over_the_limit_that_are_just_sent) {
-    const auto chunks = to_chunks(body_bytes, 64 * 1'024);
+    const auto chunks = to_chunks(body_bytes, 64 * kibibyte);
     const auto clients = cluster.connect(cluster.front().caller_port, crowd_size);
     for (std::size_t number = 0; number < clients.size(); ++number) {
         clients[number]->write(upload_head("sent-" + std::to_string(number), "Transfer-Encoding: chunked"));
@@ -135,7 +136,7 @@
 
 // The upstream responds late, so complete requests wait on each connection behind the first one.
 BOOST_AUTO_TEST_CASE(requests_that_wait_behind_each_other) {
-    constexpr std::size_t small_body_bytes = 512 * 1'024;
+    constexpr std::size_t small_body_bytes = 512 * kibibyte;
     constexpr int requests_per_connection = 16;
     std::vector<std::shared_ptr<http_exchange>> unanswered;
     cluster.handle_requests(
