Pass the limits of the host to a node by the environment

Change: the deploy file sets GOLDCRESTWELL_MEMORY_MB and GOLDCRESTWELL_MAX_FDS with `env`; the command and the template have no placeholder of the limits. An option of the command goes before the variable, the variable before the settings file; an empty variable is not set, an invalid one is wrong usage. The log line `started` names both limits.

--- a/src/goldcrestwell/cli/sidecar_command.cpp
+++ b/src/goldcrestwell/cli/sidecar_command.cpp
@@ -1,4 +1,5 @@
 #include "goldcrestwell/cli/command.hpp"
+#include "goldcrestwell/cli/limit_overrides.hpp"
 #include "goldcrestwell/cli/parsed_options.hpp"
 #include "goldcrestwell/cli/process_options.hpp"
 #include "goldcrestwell/cli/random_seed.hpp"
@@ -12,6 +13,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -19,27 +21,14 @@
 
 namespace {
 
-/** @brief Reads a whole number from an option, which may have a fraction; returns false if it is out of range. */
-bool read_limit(const cxxopts::ParseResult& values, const std::string& name, const std::size_t min_value,
-                const std::size_t max_value, std::size_t& to) {
-    if (values.count(name) == 0) {
-        return true;
-    }
-    const auto& text = values[name].as<std::string>();
-    char* end{};
-    const auto number = std::strtod(text.c_str(), &end);
-    const auto in_range = number >= static_cast<double>(min_value) && number <= static_cast<double>(max_value);
-    if (text.empty() || *end != '\0' || !in_range) {
-        std::cerr << "--" << name << ": expected " << min_value << " to " << max_value << ", got \"" << text << "\"\n";
-        return false;
-    }
-    to = static_cast<std::size_t>(number);
-    return true;
-}
-
-bool override_limits(const cxxopts::ParseResult& values, resource_settings& limits) {
-    return read_limit(values, "memory-mb", min_memory_mb, max_memory_mb, limits.memory_mb) &&
-           read_limit(values, "max-fds", min_descriptors, max_descriptors, limits.max_fds);
+limit_sources sources_of(const cxxopts::ParseResult& options) {
+    return {.option = [&options](const std::string& name) -> std::optional<std::string> {
+                return options.count(name) == 0 ? std::nullopt : std::optional{options[name].as<std::string>()};
+            },
+            .variable = [](const std::string& name) -> std::optional<std::string> {
+                const auto* const text = std::getenv(name.c_str());
+                return text == nullptr ? std::nullopt : std::optional<std::string>{text};
+            }};
 }
 
 } // namespace
@@ -63,7 +52,8 @@
     if (!settings) {
         return exit_code::invalid_input;
     }
-    if (!override_limits(*parsed.values, settings->limits)) {
+    if (const auto fault = override_limits(sources_of(*parsed.values), settings->limits)) {
+        std::cerr << *fault << '\n';
         return exit_code::wrong_usage;
     }
     configure_log({.level = settings->logging.level, .file = settings->logging.file});
@@ -80,7 +70,9 @@
               {{"version", program_version()},
                {"node", to_string(settings->self)},
                {"data_centre", settings->data_centre.value},
-               {"service", settings->upstream_service.value}});
+               {"service", settings->upstream_service.value},
+               {"memory_mb", settings->limits.memory_mb},
+               {"max_fds", settings->limits.max_fds}});
     const signal_watch terminate{loop, SIGTERM, [&process] {
                                      write_log(log_level::info, "stop_requested");
                                      process.drain();
--- a/test/cli/sidecar_limits.cpp
+++ b/test/cli/sidecar_limits.cpp
@@ -1,4 +1,5 @@
 #include "goldcrestwell/cli/command.hpp"
+#include "goldcrestwell/cli/limit_overrides.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -6,6 +7,9 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <map>
+#include <optional>
 #include <string>
 
 using namespace goldcrestwell;
@@ -39,6 +43,21 @@
     std::string path;
 };
 
+using values = std::map<std::string, std::string>;
+
+std::optional<std::string> find(const values& known, const std::string& name) {
+    const auto found = known.find(name);
+    return found == known.end() ? std::nullopt : std::optional{found->second};
+}
+
+limit_sources sources(const values& options, const values& variables) {
+    return {.option = [options](const std::string& name) { return find(options, name); },
+            .variable =
+                [variables](const std::string& name) {
+                    return find(variables, name);
+                }};
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(sidecar_limits)
@@ -51,4 +70,39 @@
     }
 }
 
+// Guards against a node that ignores the limits of its host and takes those of its settings file.
+BOOST_AUTO_TEST_CASE(environment_replaces_the_settings_and_an_option_replaces_both) {
+    const values variables{{"GOLDCRESTWELL_MEMORY_MB", "260.5"}, {"GOLDCRESTWELL_MAX_FDS", "8192"}};
+    resource_settings limits{.memory_mb = 160, .max_fds = 4'096};
+    BOOST_TEST(!override_limits(sources({}, variables), limits));
+    BOOST_TEST(limits.memory_mb == 260U);
+    BOOST_TEST(limits.max_fds == 8'192U);
+    BOOST_TEST(!override_limits(sources({{"memory-mb", "300"}}, variables), limits));
+    BOOST_TEST(limits.memory_mb == 300U);
+}
+
+// Guards against a start that fails because the platform states no limit, and against an invalid limit that is ignored.
+BOOST_AUTO_TEST_CASE(empty_variable_is_not_set_and_invalid_one_is_a_fault) {
+    resource_settings limits{.memory_mb = 160, .max_fds = 4'096};
+    BOOST_TEST(!override_limits(sources({}, {{"GOLDCRESTWELL_MEMORY_MB", ""}}), limits));
+    BOOST_TEST(limits.memory_mb == 160U);
+    for (const auto* value : {"x", "260 MB", "-1", "0", "nan"}) {
+        BOOST_TEST(override_limits(sources({}, {{"GOLDCRESTWELL_MEMORY_MB", value}}), limits).has_value(), value);
+        BOOST_TEST(override_limits(sources({}, {{"GOLDCRESTWELL_MAX_FDS", value}}), limits).has_value(), value);
+    }
+    BOOST_TEST(limits.memory_mb == 160U);
+}
+
+// Guards against a command of the deploy file that only the platform can complete: other runners of the deploy file,
+// such as the cases of review/, know the settings template but none of the placeholders of the command.
+BOOST_AUTO_TEST_CASE(deploy_file_passes_the_limits_by_the_environment) {
+    std::ifstream file{std::string{GOLDCRESTWELL_SOURCE_DIR} + "/deploy/system.toml"};
+    const std::string text{std::istreambuf_iterator<char>{file}, {}};
+    const auto run = text.find("\nrun = ");
+    BOOST_REQUIRE(run != std::string::npos);
+    BOOST_TEST(text.substr(run, text.find('\n', run + 1) - run).find("{{") == std::string::npos);
+    BOOST_TEST(text.find(R"(GOLDCRESTWELL_MEMORY_MB = "{{limits.memory_mb}}")") != std::string::npos);
+    BOOST_TEST(text.find(R"(GOLDCRESTWELL_MAX_FDS = "{{limits.max_fds}}")") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
