Let an entry name an upstream only if it has every field

Cause: decode_announcement did not read `zone` and took announcements without `born` or `cold_left_ms`. The entry stated the start of its own writer, so the registry took it for a later start of the upstream.

Change: every field is required, with its type and range; names must not be empty, the id must be a path segment, and the data centre must be that of the host. platform/entry_fields holds the rule for all decoders: heartbeats, DELETE, recorded departures, node directory, configurations (services must be defined by them), orders and states of rollouts (the service must be that of the key).

Why this works: the entry of the cases lacks a field, so it is dropped before it reaches the registry.

The test data of configurations now defines both services that its route names, and the text with a million brackets is in a field that is not read, because the data centre has a maximum length.

Measured: test_core_node and test_platform pass.

--- a/src/goldcrestwell/core/message/upstream_announcement.hpp
+++ b/src/goldcrestwell/core/message/upstream_announcement.hpp
@@ -19,6 +19,8 @@
     std::string id;
     service_name service;
     upstream_version version;
+    /** @brief Data centre of the host of the upstream. */
+    goldcrestwell::data_centre data_centre;
     node_id address;
     std::uint32_t slots{};
     bool leaving{};
--- a/src/goldcrestwell/core/node/upstream_registry.cpp
+++ b/src/goldcrestwell/core/node/upstream_registry.cpp
@@ -38,7 +38,8 @@
 }
 
 bool upstream_registry::is_local(const upstream_announcement& announcement) const {
-    return announcement.service == options_.service && announcement.address == options_.address;
+    return announcement.service == options_.service && announcement.address == options_.address &&
+           announcement.data_centre == options_.data_centre;
 }
 
 bool upstream_registry::confirms_candidate(const upstream_announcement& announcement) const {
--- a/src/goldcrestwell/core/node/upstream_registry.hpp
+++ b/src/goldcrestwell/core/node/upstream_registry.hpp
@@ -18,6 +18,7 @@
 struct upstream_registry_options {
     service_name service;
     node_id address;
+    goldcrestwell::data_centre data_centre;
     /** @brief Start of this process. */
     steady_time created{};
 };
--- a/src/goldcrestwell/platform/announcement_codec.cpp
+++ b/src/goldcrestwell/platform/announcement_codec.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestwell/platform/announcement_codec.hpp"
 
 #include "goldcrestwell/codec/json_value.hpp"
+#include "goldcrestwell/platform/entry_fields.hpp"
 
 #include <string>
 
@@ -13,25 +14,26 @@
 
 constexpr std::uint32_t max_slots = 1'000'000;
 
+// All fields are required. An entry of another writer that lacks one could otherwise take the place of the upstream,
+// with a start time or an id that the upstream does not have.
 upstream_announcement to_announcement(const std::string_view id, const json& document) {
     const auto state = document.at("state").get<std::string>();
     const auto address = parse_node_id(document.at("address").get<std::string>());
-    if (id.empty() || !address || (state != "ready" && state != "draining")) {
-        throw json_value_error{"id, address and a known state expected"};
+    const auto slots = to_integer(document.at("slots"), max_slots);
+    const auto born = to_integer(document.at("born"), static_cast<std::uint64_t>(max_wire_time.count()));
+    if (!is_upstream_id(id) || !address || slots == 0 || (state != "ready" && state != "draining")) {
+        throw json_value_error{"id, address, slots and a known state expected"};
     }
-    const auto born = document.find("born");
-    const auto cold_left = document.find("cold_left_ms");
     return {.id = std::string{id},
-            .service = {document.at("service").get<std::string>()},
-            .version = {document.at("version").get<std::string>()},
+            .service = {to_name(document.at("service"))},
+            .version = {to_name(document.at("version"))},
+            .data_centre = {to_name(document.at("zone"))},
             .address = *address,
-            .slots = to_integer(document.at("slots"), max_slots),
+            .slots = slots,
             .leaving = state == "draining",
-            .remaining_cold_start =
-                cold_left == document.end() ? milliseconds{} : to_duration(*cold_left, milliseconds{1}),
+            .remaining_cold_start = to_duration(document.at("cold_left_ms"), milliseconds{1}),
             .sequence = to_integer<std::uint64_t>(document.at("sequence")),
-            .started = wall_time{milliseconds{
-                born == document.end() ? 0 : to_integer(*born, static_cast<std::uint64_t>(max_wire_time.count()))}}};
+            .started = wall_time{milliseconds{born}}};
 }
 
 } // namespace
--- a/src/goldcrestwell/platform/directory_codec.cpp
+++ b/src/goldcrestwell/platform/directory_codec.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestwell/platform/directory_codec.hpp"
 
 #include "goldcrestwell/codec/json_value.hpp"
+#include "goldcrestwell/platform/entry_fields.hpp"
 #include "goldcrestwell/platform/names.hpp"
 
 #include <algorithm>
@@ -21,7 +22,7 @@
 
 upstream_departure to_departure(const json& value) {
     const auto started = to_integer(value.at("started_ms"), static_cast<std::uint64_t>(max_wire_time.count()));
-    return {.id = value.at("id").get<std::string>(), .started = wall_time{milliseconds{started}}};
+    return {.id = to_upstream_id(value.at("id")), .started = wall_time{milliseconds{started}}};
 }
 
 json to_json(const upstream_departure& departure) {
@@ -57,7 +58,7 @@
         if (record.key == own_departure_key) {
             page.departures = decode_departures(record.payload);
             page.skipped += page.departures ? 0 : 1;
-        } else if (const auto node = parse_node_id(record.key); node) {
+        } else if (const auto node = parse_node_id(record.key); node && is_name(record.payload)) {
             page.nodes.push_back(*node);
         } else if (!record.key.starts_with(platform_names::departure_key_prefix)) {
             ++page.skipped;
@@ -70,8 +71,7 @@
     auto document = to_json(departures.back());
     auto& earlier = document["earlier"] = json::array();
     std::transform(departures.begin(), std::prev(departures.end()), std::back_inserter(earlier), to_json);
-    // An id in another encoding than UTF-8 is replaced where it is not valid; it then matches no announcement.
-    return {.key = departure_key(self), .payload = document.dump(-1, ' ', false, json::error_handler_t::replace)};
+    return {.key = departure_key(self), .payload = document.dump()};
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/platform/operator_codec.cpp
+++ b/src/goldcrestwell/platform/operator_codec.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestwell/platform/operator_codec.hpp"
 
 #include "goldcrestwell/codec/json_value.hpp"
+#include "goldcrestwell/platform/entry_fields.hpp"
 #include "goldcrestwell/platform/names.hpp"
 
 #include <algorithm>
@@ -43,8 +44,8 @@
     if (const auto split = route.find("traffic_split"); split != route.end() && !split->empty()) {
         auto has_weight = false;
         for (const auto& entry : *split) {
-            services.push_back({.service = {entry.at("service").get<std::string>()},
-                                .weight = to_integer<std::uint32_t>(entry.at("weight"))});
+            services.push_back(
+                {.service = {to_name(entry.at("service"))}, .weight = to_integer<std::uint32_t>(entry.at("weight"))});
             has_weight = has_weight || services.back().weight > 0;
         }
         if (!has_weight) {
@@ -52,15 +53,19 @@
         }
         return services;
     }
-    services.push_back({.service = {route.at("service").get<std::string>()}, .weight = 1});
+    services.push_back({.service = {to_name(route.at("service"))}, .weight = 1});
     return services;
 }
 
 route_config to_route_config(const std::string& name, const json& route) {
     const auto kind = route.at("route_kind").get<std::string>();
+    auto prefix = route.at("path_prefix").get<std::string>();
+    if (!is_name(name) || !prefix.starts_with('/')) {
+        throw json_value_error{"name of a route and a path prefix with a slash expected"};
+    }
     return {.name = {name},
-            .host = to_lower_case(route.at("host").get<std::string>()),
-            .prefix = route.at("path_prefix").get<std::string>(),
+            .host = to_lower_case(to_name(route.at("host"))),
+            .prefix = std::move(prefix),
             .services = to_services(route),
             // Downloads can be repeated like other idempotent requests; unknown kinds must not be repeated.
             .idempotent = kind == "idempotent" || kind == "download",
@@ -85,10 +90,17 @@
 
 routing_config to_routing_config(const json& document) {
     routing_config config{.version = to_integer<std::uint64_t>(document.at("version"))};
+    const auto& services = document.at("services");
+    const auto is_defined = [&services](const weighted_service& part) {
+        return services.contains(part.service.value);
+    };
     for (const auto& [name, route] : document.at("routes").items()) {
         config.routes.push_back(to_route_config(name, route));
+        if (!std::ranges::all_of(config.routes.back().services, is_defined)) {
+            throw json_value_error{"services of the configuration expected"};
+        }
     }
-    for (const auto& [name, service] : document.at("services").items()) {
+    for (const auto& [name, service] : services.items()) {
         config.services.push_back({.name = {name},
                                    .health_path = service.value("health_path", ""),
                                    .max_connections = integer_or(service, "max_connections", 0U)});
@@ -99,9 +111,18 @@
     return config;
 }
 
-rollout_request to_rollout_request(const json& document) {
-    return {.service = {document.at("service").get<std::string>()},
-            .target = {document.at("target_version").get<std::string>()},
+// The key of an order and of a state names the service too.
+std::string to_service_of_rollout(const std::string_view key, const json& document) {
+    auto service = to_name(document.at("service"));
+    if (key.substr(platform_names::rollout_key_prefix.size()) != service) {
+        throw json_value_error{"service of the key expected"};
+    }
+    return service;
+}
+
+rollout_request to_rollout_request(const std::string_view key, const json& document) {
+    return {.service = {to_service_of_rollout(key, document)},
+            .target = {to_name(document.at("target_version"))},
             // Despite its name, `ramp_s` is the time within which the whole rollout is to be completed.
             .duration = to_duration(document.at("ramp_s"), std::chrono::seconds{1})};
 }
@@ -118,7 +139,7 @@
         return std::nullopt;
     }
     try {
-        return is_config ? operator_document{to_routing_config(*document)} : to_rollout_request(*document);
+        return is_config ? operator_document{to_routing_config(*document)} : to_rollout_request(record.key, *document);
     } catch (const json::exception&) {
         return std::nullopt;
     } catch (const json_value_error&) {
@@ -138,11 +159,13 @@
         if (phase == phase_names.end()) {
             return std::nullopt;
         }
-        return rollout_status{.service = {record.key.substr(platform_names::rollout_key_prefix.size())},
-                              .target = {document->at("target_version").get<std::string>()},
+        return rollout_status{.service = {to_service_of_rollout(record.key, *document)},
+                              .target = {to_name(document->at("target_version"))},
                               .phase = phase->first};
     } catch (const json::exception&) {
         return std::nullopt;
+    } catch (const json_value_error&) {
+        return std::nullopt;
     }
 }
 
--- a/src/goldcrestwell/platform/platform_listener.cpp
+++ b/src/goldcrestwell/platform/platform_listener.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestwell/platform/platform_listener.hpp"
 
 #include "goldcrestwell/platform/announcement_codec.hpp"
+#include "goldcrestwell/platform/entry_fields.hpp"
 #include "goldcrestwell/platform/names.hpp"
 
 #include <cstdint>
@@ -67,7 +68,7 @@
     const auto answer = [exchange](const bool acknowledged) {
         exchange->reply(empty_json_response(acknowledged ? status_ok : status_unavailable));
     };
-    if (exchange->method() == "DELETE") {
+    if (exchange->method() == "DELETE" && is_upstream_id(id)) {
         options_.on_withdrawal(id, answer);
         return;
     }
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -18,7 +18,10 @@
 constexpr std::chrono::milliseconds departure_write_timeout{500};
 
 upstream_registry_options to_registry_options(const sidecar_settings& settings, const steady_time created) {
-    return {.service = settings.upstream_service, .address = settings.upstream_address, .created = created};
+    return {.service = settings.upstream_service,
+            .address = settings.upstream_address,
+            .data_centre = settings.data_centre,
+            .created = created};
 }
 
 } // namespace
--- a/test/core/node/upstream_registry.cpp
+++ b/test/core/node/upstream_registry.cpp
@@ -16,6 +16,7 @@
     return {.id = "u-1",
             .service = {"orders"},
             .version = {"v1"},
+            .data_centre = {"north"},
             .address = upstream_address,
             .slots = 4,
             .sequence = sequence,
@@ -39,8 +40,10 @@
 
 // Registry of a process that has just started and has not read the recorded departures.
 struct restarted_fixture {
-    upstream_registry registry{
-        {.service = {"orders"}, .address = upstream_address, .created = steady_time{milliseconds{10'000}}}};
+    upstream_registry registry{{.service = {"orders"},
+                                .address = upstream_address,
+                                .data_centre = {"north"},
+                                .created = steady_time{milliseconds{10'000}}}};
     steady_time time{milliseconds{10'000}};
 
     upstream_change announce(const upstream_announcement& received) { return registry.on_announcement(received, time); }
@@ -147,6 +150,15 @@
     BOOST_TEST((registry.departures() == std::vector{upstream_departure{.id = "u-0", .started = now}, departure}));
 }
 
+// Guards against an upstream of another data centre, which no host of this one has.
+BOOST_FIXTURE_TEST_CASE(other_data_centres_are_ignored, fixture) {
+    auto odd = announcement(1);
+    odd.data_centre = {"south"};
+    BOOST_TEST((announce(odd) == upstream_change::none));
+    BOOST_TEST((announce(draining(odd)) == upstream_change::none));
+    BOOST_TEST(registry.departures().empty());
+}
+
 // Guards against a departure that is forgotten because others were announced after it and took its place in the record:
 // the process after the next one would use the upstream again.
 BOOST_FIXTURE_TEST_CASE(later_departures_do_not_displace_earlier_ones, restarted_fixture) {
@@ -156,7 +168,7 @@
     BOOST_TEST((announce(draining(announcement_of("u-2", 1, 200))) == upstream_change::leaving));
     const auto recorded = registry.departures();
     BOOST_TEST(recorded.size() == 3U);
-    registry = upstream_registry{{.service = {"orders"}, .address = upstream_address}};
+    registry = upstream_registry{{.service = {"orders"}, .address = upstream_address, .data_centre = {"north"}}};
     BOOST_TEST((restore(recorded) == upstream_change::none));
     for (const auto& late : {announcement(9), announcement_of("u-2", 2, 200), announcement_of("u-9", 2, 900)}) {
         BOOST_TEST((announce(late) == upstream_change::none));
--- a/test/platform/decoders.cpp
+++ b/test/platform/decoders.cpp
@@ -43,7 +43,7 @@
                 {"route_kind", "idempotent"},
                 {"timeout_ms", 1'000},
                 {"traffic_split", {{{"service", "a"}, {"weight", 3}}, {{"service", "b"}, {"weight", 1}}}}}}}},
-            {"services", {{"a", json::object()}}}};
+            {"services", {{"a", json::object()}, {"b", json::object()}}}};
 }
 
 bool is_accepted(const json& config) {
@@ -92,7 +92,8 @@
     BOOST_TEST(!decode_status({.key = "rollout/a", .payload = nested("", "")}).has_value());
     BOOST_TEST(!decode_newest_page(nested(R"({"end":1,"items":)", "}")).has_value());
     // Brackets in a string are no nesting.
-    BOOST_TEST(is_accepted("zone", std::string(million, '[') + "\"\\"));
+    BOOST_TEST(is_accepted("zone", std::string(100, '[') + "\"\\"));
+    BOOST_TEST(is_accepted("more", std::string(million, '[') + "\"\\"));
 }
 
 BOOST_AUTO_TEST_CASE(configuration_with_invalid_number_is_rejected) {
@@ -191,6 +192,8 @@
     const auto odd_payloads = {"",
                                "[]",
                                R"({"id":7,"started_ms":1})",
+                               R"({"id":"","started_ms":1})",
+                               R"({"id":"a/b","started_ms":1})",
                                R"({"id":"u-1"})",
                                R"({"id":"u-1","started_ms":-1})",
                                R"({"id":"u-1","started_ms":1e300})",
@@ -214,6 +217,79 @@
                 std::vector{upstream_departure{.id = "u-1", .started = wall_time{std::chrono::milliseconds{5}}}}));
 }
 
+// Guards against an entry that names a node without its data centre, which only another writer leaves.
+BOOST_AUTO_TEST_CASE(node_without_a_data_centre_is_skipped) {
+    for (const auto* payload : {"", "\x01", "a\nb"}) {
+        const auto page = decode_directory({{.key = "10.0.0.2:7000", .payload = payload}}, {0x0A000001, 7000});
+        BOOST_TEST(page.nodes.empty(), payload);
+        BOOST_TEST(page.skipped == 1U, payload);
+    }
+}
+
+// Guards against a heartbeat of another writer that names an upstream: without a field, or with one of another type, it
+// took the place of the upstream in use, or brought back one that had left (review/7, review/9).
+BOOST_AUTO_TEST_CASE(announcement_needs_every_field_with_its_type) {
+    const auto announcement = valid_announcement();
+    for (const auto& [key, valid] : announcement.items()) {
+        auto document = announcement;
+        document.erase(key);
+        BOOST_TEST(!decode_announcement("u-1", document.dump()).has_value(), key << " is missing");
+        for (const auto& value : {json(nullptr), json(true), json::array(), json::object(), json({{"a", 1}}),
+                                  valid.is_string() ? json(7) : json("7"), json(""), json(-1), json(1e300)}) {
+            BOOST_TEST(!is_accepted(key, value), key << " is " << value.dump());
+        }
+    }
+    BOOST_TEST(!is_accepted("slots", 0));
+    BOOST_TEST(!is_accepted("born", 1.5));
+    BOOST_TEST(!is_accepted("state", "starting"));
+    for (const auto* key : {"service", "version", "zone"}) {
+        BOOST_TEST(!is_accepted(key, "a\nb"), key);
+        BOOST_TEST(!is_accepted(key, std::string(1'000, 'a')), key);
+    }
+    for (const auto* text : {"[]", "7", "null", "\"ready\"", "", "{", "\xFF"}) {
+        BOOST_TEST(!decode_announcement("u-1", text).has_value(), text);
+    }
+}
+
+// Guards against an id that changes the header or the path it is written to, or that no record can hold.
+BOOST_AUTO_TEST_CASE(announcement_needs_a_valid_id) {
+    const auto body = valid_announcement().dump();
+    BOOST_TEST(decode_announcement("i-7f3a91c2", body).has_value());
+    for (const auto& id : {std::string{}, std::string{"a/b"}, std::string{"a?b"}, std::string{"a b"},
+                           std::string{"a\r\nb"}, std::string{"%41"}, std::string{"\xFF"}, std::string(1'000, 'a')}) {
+        BOOST_TEST(!decode_announcement(id, body).has_value(), id);
+    }
+}
+
+// Guards against a record of another writer that names a service which the operator has not defined.
+BOOST_AUTO_TEST_CASE(operator_records_need_names_of_defined_services) {
+    for (const auto& service : {json("c"), json(""), json(7), json(nullptr)}) {
+        auto config = valid_config();
+        config["routes"]["r"]["traffic_split"][0]["service"] = service;
+        BOOST_TEST(!is_accepted(config), service.dump());
+        config["routes"]["r"].erase("traffic_split");
+        config["routes"]["r"]["service"] = service;
+        BOOST_TEST(!is_accepted(config), service.dump());
+        const json order{{"service", service}, {"target_version", "v2"}, {"ramp_s", 5}, {"state", "running"}};
+        BOOST_TEST(!decode_operator_record({.key = "rollout/a", .payload = order.dump()}).has_value(), service.dump());
+        BOOST_TEST(!decode_status({.key = "rollout/a", .payload = order.dump()}).has_value(), service.dump());
+    }
+    for (const auto* key : {"host", "path_prefix", "route_kind"}) {
+        auto config = valid_config();
+        config["routes"]["r"].erase(key);
+        BOOST_TEST(!is_accepted(config), key);
+        config["routes"]["r"][key] = 7;
+        BOOST_TEST(!is_accepted(config), key);
+    }
+    for (const auto* key : {"service", "target_version", "ramp_s"}) {
+        json order{{"service", "a"}, {"target_version", "v2"}, {"ramp_s", 5}, {"state", "running"}};
+        BOOST_TEST(decode_operator_record({.key = "rollout/a", .payload = order.dump()}).has_value());
+        BOOST_TEST(decode_status({.key = "rollout/a", .payload = order.dump()}).has_value());
+        order.erase(key);
+        BOOST_TEST(!decode_operator_record({.key = "rollout/a", .payload = order.dump()}).has_value(), key);
+    }
+}
+
 // Random changes of valid texts; the sanitizers find what goes wrong.
 BOOST_AUTO_TEST_CASE(changed_texts_are_survived) {
     const std::vector<std::string> texts{
--- a/test/platform/sidecar.cpp
+++ b/test/platform/sidecar.cpp
@@ -203,6 +203,39 @@
     BOOST_TEST(!cluster.store.newest("keyed.nodes", key).empty());
 }
 
+// Guards against an entry of another writer that takes the place of an upstream in use, or that brings back one that
+// has left (review/7, review/9).
+BOOST_FIXTURE_TEST_CASE(entry_of_another_writer_names_no_upstream, fixture) {
+    const auto id = first_host.upstream_id;
+    const auto born = first_host.born;
+    const auto announce_without_zone = [this](const std::string& odd_id) {
+        first_host.upstream_id = odd_id;
+        first_host.born += 1'000;
+        return cluster.announce(first_host, "ready", [](nlohmann::json& body) { body.erase("zone"); });
+    };
+    const auto restore_host = [&] {
+        first_host.upstream_id = id;
+        first_host.born = born;
+    };
+    const auto runs = [this] {
+        const auto before = first_host.run_count;
+        for (int i = 0; i < 8; ++i) {
+            BOOST_TEST(cluster.call(i % 2 == 0 ? first_host : second_host, "GET", "/read/a").response.status == 200U);
+        }
+        return first_host.run_count - before;
+    };
+    BOOST_TEST(announce_without_zone("u-foreign") == 400U);
+    BOOST_TEST(announce_without_zone(id) == 400U);
+    restore_host();
+    BOOST_TEST(cluster.announce(first_host) == 200U);
+    BOOST_TEST(runs() > 0U);
+    BOOST_TEST(cluster.announce(first_host, "draining") == 200U);
+    cluster.run_for(milliseconds{1'000});
+    BOOST_TEST(announce_without_zone(id) == 400U);
+    cluster.run_for(milliseconds{300});
+    BOOST_TEST(runs() == 0U);
+}
+
 // Guards against a retry of a non-idempotent call whose response was lost, and against a status that claims it did not
 // run.
 BOOST_FIXTURE_TEST_CASE(non_idempotent_call_without_response_is_not_retried_or_reported_as_not_run, fixture) {
--- a/test/platform/sidecar_cluster.cpp
+++ b/test/platform/sidecar_cluster.cpp
@@ -65,16 +65,20 @@
     static_cast<void>(target_host.sidecar_process->start());
 }
 
-std::uint32_t sidecar_cluster::announce(host& target_host, const std::string& state) {
-    const nlohmann::json body{{"service", target_host.settings.upstream_service.value},
-                              {"address", to_string(target_host.settings.upstream_address)},
-                              {"zone", "north"},
-                              {"version", target_host.version},
-                              {"slots", 4},
-                              {"state", state},
-                              {"cold_left_ms", 0},
-                              {"sequence", ++target_host.sequence},
-                              {"born", target_host.born}};
+std::uint32_t sidecar_cluster::announce(host& target_host, const std::string& state,
+                                        const std::function<void(nlohmann::json& body)>& change) {
+    nlohmann::json body{{"service", target_host.settings.upstream_service.value},
+                        {"address", to_string(target_host.settings.upstream_address)},
+                        {"zone", "north"},
+                        {"version", target_host.version},
+                        {"slots", 4},
+                        {"state", state},
+                        {"cold_left_ms", 0},
+                        {"sequence", ++target_host.sequence},
+                        {"born", target_host.born}};
+    if (change) {
+        change(body);
+    }
     return send(to_endpoint(target_host.settings.announcement_listener),
                 {.method = "PUT", .target = "/goldcrestwell/instances/" + target_host.upstream_id, .body = body.dump()})
         .response.status;
--- a/test/platform/sidecar_cluster.hpp
+++ b/test/platform/sidecar_cluster.hpp
@@ -5,6 +5,8 @@
 #include "goldcrestwell/shell/http_connection.hpp"
 #include "platform/fake_store.hpp"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,8 +40,12 @@
     host& add_host(const std::string& service);
     /** @brief Starts or restarts the sidecar of a host. */
     void start(host& target_host);
-    /** @return Status of the response to an announcement. */
-    std::uint32_t announce(host& target_host, const std::string& state = "ready");
+    /**
+     * @param change Changes the announcement before it is sent; may be empty.
+     * @return Status of the response to an announcement.
+     */
+    std::uint32_t announce(host& target_host, const std::string& state = "ready",
+                           const std::function<void(nlohmann::json& body)>& change = {});
     /** @return Status of the response to the withdrawal of the upstream's announcements. */
     std::uint32_t withdraw(const host& target_host);
     /** @return Status of `GET` on the ready address. */
