Announce the data centre of its own host in the soak

Cause: upstreams of the soak announced "north" on every host, also on those of "south". A node takes only announcements of its own data centre now, so every second upstream would have stayed out of use.

Change: the announcement names the data centre of the host.

--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -78,10 +78,11 @@
     new_host.store_relay = std::make_unique<test::tcp_relay>(loop_, store_relay_port, store_port_);
     new_host.upstream_relay = std::make_unique<test::tcp_relay>(loop_, upstream_relay_port, upstream_port);
     new_host.settings = directory_ / ("sidecar-" + std::to_string(index) + ".json");
+    const std::string data_centre{index % 2 == 0 ? "north" : "south"};
     const nlohmann::json settings{
         {"host", "127.0.0.1"},
         {"peer_port", new_host.peer_port},
-        {"data_centre", index % 2 == 0 ? "north" : "south"},
+        {"data_centre", data_centre},
         {"region", "here"},
         {"caller_listener", local_address(new_host.caller_port)},
         {"ready_listener", local_address(new_host.ready_port)},
@@ -98,6 +99,7 @@
     start(new_host);
     new_host.upstream =
         std::make_unique<soak_upstream>(loop_, soak_upstream_options{.service = "orders",
+                                                                     .data_centre = data_centre,
                                                                      .port = upstream_port,
                                                                      .announced_port = upstream_relay_port,
                                                                      .node_port = new_host.announcement_port,
--- a/soak/soak_upstream.cpp
+++ b/soak/soak_upstream.cpp
@@ -53,7 +53,7 @@
 void soak_upstream::send_announcement() {
     const nlohmann::json body{{"service", options_.service},
                               {"address", "127.0.0.1:" + std::to_string(options_.announced_port)},
-                              {"zone", "north"},
+                              {"zone", options_.data_centre},
                               {"version", "v1"},
                               {"slots", slots},
                               {"state", draining_ ? "draining" : "ready"},
--- a/soak/soak_upstream.hpp
+++ b/soak/soak_upstream.hpp
@@ -20,6 +20,7 @@
 /** @brief Options of a `soak_upstream`. */
 struct soak_upstream_options {
     std::string service;
+    std::string data_centre;
     std::uint16_t port{};
     /** @brief Port of the relay through which nodes reach the upstream. */
     std::uint16_t announced_port{};
