Keep the present upstream when a former start departs

Cause: the registry answered `leaving` for every announced departure, and the node then withdrew the upstream in use, whichever start had left.

Change: a departure of a start that is not in use is recorded and acknowledged, and changes nothing else (`departed`).

Evidence: departure_of_a_former_start_does_not_affect_the_present_one fails if `leaving` is returned as before (2 checks).

--- a/src/goldcrestwell/core/node/upstream_registry.cpp
+++ b/src/goldcrestwell/core/node/upstream_registry.cpp
@@ -89,7 +89,7 @@
     if (candidate_ && departures_.has_left(*candidate_)) {
         candidate_.reset();
     }
-    return upstream_change::leaving;
+    return is_in_use() ? upstream_change::departed : upstream_change::leaving;
 }
 
 upstream_change upstream_registry::restore(const std::vector<upstream_departure>& departures) {
--- a/src/goldcrestwell/core/node/upstream_registry.hpp
+++ b/src/goldcrestwell/core/node/upstream_registry.hpp
@@ -28,7 +28,8 @@
     none,    /**< No change: stale, out of order, not confirmed yet, or of another host. */
     renewed, /**< The known upstream repeated its announcement. */
     started, /**< Another upstream, or another start of the same upstream, replaces the known one. */
-    leaving  /**< The upstream accepts no new work. */
+    leaving, /**< The upstream accepts no new work. */
+    departed /**< A start that is not in use leaves; the upstream in use is not affected. */
 };
 
 /**
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -152,6 +152,7 @@
     const auto now = loop_.now();
     switch (change) {
     case upstream_change::none:
+    case upstream_change::departed:
         return;
     case upstream_change::leaving:
         write_log(log_level::info, "upstream_leaving", {{"upstream", upstream_registry_.departures().back().id}});
@@ -173,7 +174,7 @@
 
 void sidecar::answer_change(const upstream_change change, const answer_hook& answer) {
     on_upstream_change(change);
-    if (change == upstream_change::leaving) {
+    if (change == upstream_change::leaving || change == upstream_change::departed) {
         process_.core().on_upstream_departed(upstream_registry_.departures(), answer, loop_.now());
     } else {
         answer(true);
--- a/test/core/node/upstream_registry.cpp
+++ b/test/core/node/upstream_registry.cpp
@@ -150,6 +150,17 @@
     BOOST_TEST((registry.departures() == std::vector{upstream_departure{.id = "u-0", .started = now}, departure}));
 }
 
+// Guards against a late departure of a former start that takes the present upstream out of use.
+BOOST_FIXTURE_TEST_CASE(departure_of_a_former_start_does_not_affect_the_present_one, fixture) {
+    static_cast<void>(announce(announcement(1)));
+    static_cast<void>(announce(draining(announcement(2))));
+    BOOST_TEST((announce(announcement(1, 300)) == upstream_change::started));
+    BOOST_TEST((announce(draining(announcement(3))) == upstream_change::departed));
+    BOOST_TEST((announce(draining(announcement_of("u-0", 1, 50))) == upstream_change::departed));
+    BOOST_TEST((announce(announcement(2, 300)) == upstream_change::renewed));
+    BOOST_TEST((announce(draining(announcement(3, 300))) == upstream_change::leaving));
+}
+
 // Guards against an upstream of another data centre, which no host of this one has.
 BOOST_FIXTURE_TEST_CASE(other_data_centres_are_ignored, fixture) {
     auto odd = announcement(1);
