Require more than one message to displace an upstream in use

Cause: the registry used each later start at once and ignored every earlier one for ever.

Change: another start is used after its second message, if the upstream in use sent none in between; at once if that has left, was silent for 1.5 intervals, or if the upstream answers 421 to the id in use. An earlier start, or an earlier sequence number, is used after its second message if nothing else was received for four intervals.

Why this works: an upstream in use announces itself between any two messages of another writer, and the upstream at the address itself says which one it is, so a real restart is not slowed down.

In heartbeats_of_an_earlier_start_are_ignored 3 s pass before the restart, so that all of its checks stay as they were.

--- a/src/goldcrestwell/core/node/upstream_registry.cpp
+++ b/src/goldcrestwell/core/node/upstream_registry.cpp
@@ -34,7 +34,7 @@
         }
         return upstream_change::none;
     }
-    return accept(announcement);
+    return accept(announcement, now);
 }
 
 bool upstream_registry::is_local(const upstream_announcement& announcement) const {
@@ -49,23 +49,41 @@
 // A departure is acknowledged before the process that acknowledged it ends, so what arrives later than the maximum
 // delay after the start of this process was sent after every such acknowledgement.
 bool upstream_registry::may_be_late(const upstream_announcement& announcement, const steady_time now) const {
-    return !departures_known_ && (now < options_.created + max_announcement_delay || !confirms_candidate(announcement));
+    return !departures_known_ &&
+           (now < options_.created + max_announcement_delay || !confirms_candidate(announcement));
 }
 
-upstream_change upstream_registry::accept(const upstream_announcement& announcement) {
-    const auto same_start = latest_ && is_same_start(*latest_, announcement);
-    if (latest_ && !same_start && announcement.started <= latest_->started) {
-        return upstream_change::none;
+upstream_change upstream_registry::accept(const upstream_announcement& announcement, const steady_time now) {
+    if (!latest_) {
+        return use(announcement, now);
     }
-    if (same_start && announcement.sequence <= latest_->sequence) {
-        return upstream_change::none;
+    if (is_same_start(*latest_, announcement) && announcement.sequence > latest_->sequence) {
+        latest_ = announcement;
+        last_announcement_ = now;
+        candidate_.reset();
+        return upstream_change::renewed;
+    }
+    if (may_replace(announcement, now)) {
+        return use(announcement, now);
     }
-    static_cast<void>(use(announcement));
-    return same_start ? upstream_change::renewed : upstream_change::started;
+    candidate_ = announcement;
+    return upstream_change::none;
 }
 
-upstream_change upstream_registry::use(const upstream_announcement& announcement) {
+bool upstream_registry::may_replace(const upstream_announcement& announcement, const steady_time now) const {
+    const auto silence = now - last_announcement_;
+    const auto confirmed = confirms_candidate(announcement);
+    if (announcement.started > latest_->started) {
+        return confirmed || !is_in_use() || silence >= options_.takeover_silence;
+    }
+    // An earlier start, or an earlier announcement of the same start, is late as a rule. If nothing else is received,
+    // the one in use was false.
+    return confirmed && silence >= options_.expiry;
+}
+
+upstream_change upstream_registry::use(const upstream_announcement& announcement, const steady_time now) {
     latest_ = announcement;
+    last_announcement_ = now;
     candidate_.reset();
     return upstream_change::started;
 }
@@ -92,7 +110,12 @@
     return is_in_use() ? upstream_change::departed : upstream_change::leaving;
 }
 
-upstream_change upstream_registry::restore(const std::vector<upstream_departure>& departures) {
+upstream_change upstream_registry::on_misdirected(const steady_time now) {
+    return candidate_ && is_in_use() && !is_same_start(*candidate_, *latest_) ? use(*candidate_, now)
+                                                                              : upstream_change::none;
+}
+
+upstream_change upstream_registry::restore(const std::vector<upstream_departure>& departures, const steady_time now) {
     const auto was_in_use = is_in_use();
     departures_known_ = true;
     departures_.add_earlier(departures);
@@ -102,7 +125,7 @@
     if (candidate_ && departures_.has_left(*candidate_)) {
         candidate_.reset();
     }
-    return candidate_ && !latest_ ? use(*candidate_) : upstream_change::none;
+    return candidate_ && !latest_ ? use(*candidate_, now) : upstream_change::none;
 }
 
 upstream_info upstream_registry::info() const {
--- a/src/goldcrestwell/platform/call_codec.cpp
+++ b/src/goldcrestwell/platform/call_codec.cpp
@@ -135,7 +135,9 @@
         return {.outcome = upstream_outcome::invalid};
     }
     if (find_header(response.headers, platform_names::not_executed) || response.status == status_misdirected) {
-        return {.outcome = upstream_outcome::rejected, .identified = id.has_value()};
+        return {.outcome = upstream_outcome::rejected,
+                .identified = id.has_value(),
+                .misdirected = response.status == status_misdirected};
     }
     const auto has_valid_headers = id && find_header(response.headers, platform_names::response_signature) &&
                                    !find_header(response.headers, "Content-Encoding");
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -18,10 +18,14 @@
 constexpr std::chrono::milliseconds departure_write_timeout{500};
 
 upstream_registry_options to_registry_options(const sidecar_settings& settings, const steady_time created) {
+    // One announcement may be late by half of the interval; the node gives an upstream up after four.
+    constexpr int expiry_intervals = 4;
     return {.service = settings.upstream_service,
             .address = settings.upstream_address,
             .data_centre = settings.data_centre,
-            .created = created};
+            .created = created,
+            .takeover_silence = settings.announcement_interval + settings.announcement_interval / 2,
+            .expiry = settings.announcement_interval * expiry_intervals};
 }
 
 } // namespace
@@ -65,6 +69,9 @@
         return encode_call_headers(call, timeout, upstream_registry_.id());
     };
     options.upstream.classify_response = classify_response;
+    options.upstream.on_misdirected = [this] {
+        on_upstream_change(upstream_registry_.on_misdirected(loop_.now().steady));
+    };
     return options;
 }
 
@@ -121,7 +128,7 @@
 // An unreadable record does not show which upstreams have left. It is replaced by the next departure.
 void sidecar::restore_departures(const std::optional<std::vector<upstream_departure>>& departures) {
     if (departures) {
-        on_upstream_change(upstream_registry_.restore(*departures));
+        on_upstream_change(upstream_registry_.restore(*departures, loop_.now().steady));
     }
     process_.core().on_departures_restored(upstream_registry_.departures(), loop_.now());
 }
--- a/src/goldcrestwell/shell/upstream_client.cpp
+++ b/src/goldcrestwell/shell/upstream_client.cpp
@@ -120,6 +120,9 @@
     }
     options_.on_result(id, verdict.outcome == upstream_outcome::answered ? result
                                                                          : upstream_result{.outcome = verdict.outcome});
+    if (verdict.misdirected && options_.on_misdirected) {
+        options_.on_misdirected();
+    }
 }
 
 void upstream_client::close_stale_connections(const steady_time now) {
--- a/src/goldcrestwell/shell/upstream_client.hpp
+++ b/src/goldcrestwell/shell/upstream_client.hpp
@@ -39,6 +39,8 @@
     /** @brief Returns the meaning of a response; if empty, every response counts as `answered`. */
     std::function<response_verdict(const call_request& call, const http_response& response)> classify_response;
     std::function<void(const attempt_id& id, const upstream_result& result)> on_result;
+    /** @brief Called when another upstream than the expected one has answered; may be empty. */
+    std::function<void()> on_misdirected;
 };
 
 /**
--- a/test/core/node/upstream_registry.cpp
+++ b/test/core/node/upstream_registry.cpp
@@ -47,7 +47,9 @@
     steady_time time{milliseconds{10'000}};
 
     upstream_change announce(const upstream_announcement& received) { return registry.on_announcement(received, time); }
-    upstream_change restore(const std::vector<upstream_departure>& departures) { return registry.restore(departures); }
+    upstream_change restore(const std::vector<upstream_departure>& departures) {
+        return registry.restore(departures, time);
+    }
 };
 
 // Registry of a process that knows that no earlier process on its host recorded a departure.
@@ -62,6 +64,7 @@
 // Guards against accepting a heartbeat that was delayed until the upstream was started again.
 BOOST_FIXTURE_TEST_CASE(heartbeats_of_an_earlier_start_are_ignored, fixture) {
     BOOST_TEST((announce(announcement(9)) == upstream_change::started));
+    time += milliseconds{3'000};
     BOOST_TEST((announce(announcement(1, 200)) == upstream_change::started));
     BOOST_TEST((announce(announcement(10)) == upstream_change::none));
     BOOST_TEST((announce(announcement(2, 200)) == upstream_change::renewed));
@@ -150,6 +153,58 @@
     BOOST_TEST((registry.departures() == std::vector{upstream_departure{.id = "u-0", .started = now}, departure}));
 }
 
+// Guards against a heartbeat of another writer that takes the place of an upstream in use; the upstream would stay out
+// of use, because its own heartbeats name an earlier start.
+BOOST_FIXTURE_TEST_CASE(single_heartbeat_does_not_displace_an_upstream_in_use, fixture) {
+    static_cast<void>(announce(announcement(1)));
+    for (std::uint64_t sequence = 2; sequence < 6; ++sequence) {
+        time += milliseconds{700};
+        BOOST_TEST((announce(announcement_of("u-9", sequence, 900)) == upstream_change::none));
+        BOOST_TEST((announce(announcement(sequence, 900)) == upstream_change::none));
+        time += milliseconds{800};
+        BOOST_TEST((announce(announcement(sequence)) == upstream_change::renewed));
+    }
+    BOOST_TEST(registry.id() == "u-1");
+}
+
+// Guards against a new start that is not used although the one before it has ended.
+BOOST_FIXTURE_TEST_CASE(new_start_displaces_an_upstream_that_is_silent, fixture) {
+    static_cast<void>(announce(announcement(1)));
+    time += milliseconds{100};
+    BOOST_TEST((announce(announcement_of("u-2", 1, 200)) == upstream_change::none));
+    time += milliseconds{1'500};
+    BOOST_TEST((announce(announcement_of("u-2", 2, 200)) == upstream_change::started));
+    time += milliseconds{2'250};
+    BOOST_TEST((announce(announcement_of("u-3", 1, 300)) == upstream_change::started));
+}
+
+// Guards against seconds without an upstream after a quick restart: the upstream itself answers that it is another one.
+BOOST_FIXTURE_TEST_CASE(new_start_is_used_once_the_upstream_refuses_the_id_of_the_old_one, fixture) {
+    static_cast<void>(announce(announcement(1)));
+    BOOST_TEST((registry.on_misdirected(time) == upstream_change::none));
+    static_cast<void>(announce(announcement_of("u-2", 1, 200)));
+    BOOST_TEST((registry.on_misdirected(time) == upstream_change::started));
+    BOOST_TEST(registry.id() == "u-2");
+    BOOST_TEST((registry.on_misdirected(time) == upstream_change::none));
+}
+
+// Guards against an upstream that stays out of use for good, because the first heartbeat that was received came from
+// another writer and stated a later start, or a higher sequence number.
+BOOST_FIXTURE_TEST_CASE(earlier_start_is_used_if_nothing_else_is_received, fixture) {
+    for (const auto& odd : {announcement_of("u-9", 1, 9'000), announcement(1, 9'000), announcement(1'000'000)}) {
+        time += milliseconds{10'000};
+        static_cast<void>(announce(odd));
+        std::uint64_t sequence = 1;
+        for (; sequence < 10 && announce(announcement(sequence)) != upstream_change::started; ++sequence) {
+            time += milliseconds{1'500};
+        }
+        BOOST_TEST(sequence < 6U);
+        BOOST_TEST(registry.info().generation == 100U);
+        registry = upstream_registry{{.service = {"orders"}, .address = upstream_address, .data_centre = {"north"}}};
+        static_cast<void>(restore({}));
+    }
+}
+
 // Guards against a late departure of a former start that takes the present upstream out of use.
 BOOST_FIXTURE_TEST_CASE(departure_of_a_former_start_does_not_affect_the_present_one, fixture) {
     static_cast<void>(announce(announcement(1)));
--- a/test/platform/sidecar.cpp
+++ b/test/platform/sidecar.cpp
@@ -213,6 +213,11 @@
         first_host.born += 1'000;
         return cluster.announce(first_host, "ready", [](nlohmann::json& body) { body.erase("zone"); });
     };
+    first_host.handle_request = [id,
+                                 respond = first_host.handle_request](const std::shared_ptr<http_exchange>& exchange) {
+        BOOST_TEST(find_header(exchange->headers(), "Goldcrestwell-Target-Instance").value_or("") == id);
+        respond(exchange);
+    };
     const auto restore_host = [&] {
         first_host.upstream_id = id;
         first_host.born = born;
@@ -226,6 +231,9 @@
     };
     BOOST_TEST(announce_without_zone("u-foreign") == 400U);
     BOOST_TEST(announce_without_zone(id) == 400U);
+    // A complete entry does not displace an upstream that goes on announcing itself either.
+    first_host.upstream_id = "u-foreign";
+    BOOST_TEST(cluster.announce(first_host) == 200U);
     restore_host();
     BOOST_TEST(cluster.announce(first_host) == 200U);
     BOOST_TEST(runs() > 0U);
