Let a restarted node learn its departures from a peer

Cause: only the store tells a late announcement from a start, and only the own read of the node was tried.

A peer reads the store after it has received the query and answers with the departures recorded for the host of the sender (departure_query, departure_answer).

Why this works: every departure that an earlier process of the host acknowledged was recorded before this process started, so a read that begins after its query is complete.

--- a/src/goldcrestwell/codec/wire_fields.hpp
+++ b/src/goldcrestwell/codec/wire_fields.hpp
@@ -54,6 +54,9 @@
 template <typename Self> auto fields_of(Self& v, wire_tag<operator_record>) { return std::tie(v.offset, v.key, v.payload); }
 template <typename Self> auto fields_of(Self& v, wire_tag<document_pull>) { return std::tie(v.after); }
 template <typename Self> auto fields_of(Self& v, wire_tag<document_batch>) { return std::tie(v.through, v.records); }
+template <typename Self> auto fields_of(Self& v, wire_tag<upstream_departure>) { return std::tie(v.id, v.started); }
+template <typename Self> auto fields_of(Self&, wire_tag<departure_query>) { return std::tie(); }
+template <typename Self> auto fields_of(Self& v, wire_tag<departure_answer>) { return std::tie(v.departures); }
 template <typename Self> auto fields_of(Self& v, wire_tag<sync_digest>) { return std::tie(v.buckets, v.rollouts); }
 template <typename Self> auto fields_of(Self& v, wire_tag<sync_state>) { return std::tie(v.members, v.rollouts); }
 template <typename Self> auto fields_of(Self& v, wire_tag<sync_list>) { return std::tie(v.records, v.more); }
--- a/src/goldcrestwell/core/node/fwd.hpp
+++ b/src/goldcrestwell/core/node/fwd.hpp
@@ -3,9 +3,12 @@
 
 namespace goldcrestwell {
 
+class departure_history;
+class departure_lookup;
 class departure_recorder;
 class node;
 class operator_source;
+struct departure_lookup_options;
 struct departure_recorder_options;
 struct node_hooks;
 struct node_options;
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -16,6 +16,7 @@
         operators_.emplace(*options_.operators, make_operator_links());
         directory_.emplace(make_directory_options());
         departures_.emplace(make_departure_options());
+        departure_lookup_.emplace(make_lookup_options());
     }
 }
 
@@ -25,6 +26,7 @@
     membership_.start(now);
     if (operators_) {
         directory_->start();
+        departure_lookup_->start(now.steady);
         operators_->start(now);
     } else {
         follower_.start(now);
@@ -182,6 +184,7 @@
         operators_->on_timer(now);
         directory_->on_timer(now.steady);
         departures_->on_timer(now.steady);
+        departure_lookup_->on_timer(now.steady);
     }
     if (upstream_ && (now.steady >= announcement_expires_ || (withdraw_at_ && now.steady >= *withdraw_at_))) {
         on_upstream_withdrawn(now);
@@ -310,6 +313,7 @@
         consider(operators_->next_timer());
         consider(directory_->next_timer());
         consider(departures_->next_timer());
+        consider(departure_lookup_->next_timer());
     }
     if (upstream_) {
         consider(announcement_expires_);
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -16,6 +16,7 @@
 #include "goldcrestwell/core/message/table_edit.hpp"
 #include "goldcrestwell/core/message/upstream_result.hpp"
 #include "goldcrestwell/core/node/candidate_index.hpp"
+#include "goldcrestwell/core/node/departure_lookup.hpp"
 #include "goldcrestwell/core/node/departure_recorder.hpp"
 #include "goldcrestwell/core/node/edit_tracker.hpp"
 #include "goldcrestwell/core/node/node_options.hpp"
@@ -108,6 +109,8 @@
     /** @brief Handles a finished read of the node directory; `entries` is empty if it failed. */
     void on_node_directory_read(const std::optional<std::vector<node_id>>& entries, time_sample now);
 
+    /** @brief Handles a finished read of departures for other nodes; `found` is empty if it failed. */
+    void on_departures_read(const std::optional<std::vector<host_departures>>& found, time_sample now);
     /** @brief Handles a finished write of a departure; not `confirmed` if refused or of unknown outcome. */
     void on_departure_written(bool confirmed, time_sample now);
 
@@ -160,6 +163,7 @@
     [[nodiscard]] operator_source_links make_operator_links();
     [[nodiscard]] node_directory_options make_directory_options();
     [[nodiscard]] departure_recorder_options make_departure_options();
+    [[nodiscard]] departure_lookup_options make_lookup_options();
 
     void queue(task work) { tasks_.push_back(std::move(work)); }
     /** @brief Runs the queued actions, then advertises the position and schedules the next timer. */
@@ -185,6 +189,8 @@
     void handle(node_id from, const sync_request& message);
     void handle(node_id from, const document_pull& message);
     void handle(node_id from, const document_batch& message);
+    void handle(node_id from, const departure_query& message);
+    void handle(node_id from, const departure_answer& message);
 
     /** @brief Sends a frame of a call; a frame to this node itself is queued. */
     void send_call_frame(node_id to, const peer_message& message);
@@ -240,6 +246,7 @@
     std::optional<operator_source> operators_;
     std::optional<node_directory> directory_;
     std::optional<departure_recorder> departures_;
+    std::optional<departure_lookup> departure_lookup_;
 
     std::map<call_id, waiting_caller> callers_;
     std::optional<upstream_info> upstream_;
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -95,6 +95,18 @@
     }
 }
 
+void node::handle(const node_id from, const departure_query& /*message*/) {
+    if (operators_) {
+        departure_lookup_->on_query(from, now_.steady);
+    }
+}
+
+void node::handle(const node_id /*from*/, const departure_answer& message) {
+    if (operators_ && !departures_->started()) {
+        queue([this, message] { options_.operators->hooks.departures_received(message.departures); });
+    }
+}
+
 void node::handle(const node_id from, const sync_digest& message) {
     membership_.on_sync(from, message, now_);
 }
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -107,6 +107,23 @@
             }};
 }
 
+departure_lookup_options node::make_lookup_options() {
+    return {.seed = options_.seed,
+            .peers =
+                [this] {
+                    auto peers = membership_.alive();
+                    std::erase(peers, options_.self);
+                    return peers;
+                },
+            .send_query =
+                [this](const node_id to) { send_control_frame(to, departure_query{}, control_priority::position); },
+            .send_answer =
+                [this](const node_id to, const std::vector<upstream_departure>& departures) {
+                    send_control_frame(to, departure_answer{.departures = departures}, control_priority::position);
+                },
+            .read = options_.operators->hooks.read_departures};
+}
+
 // The other nodes of the data centre are notified of a change by these readers and fetch it from them, without a call
 // to the store.
 bool node::reads_store_immediately() const {
@@ -153,6 +170,8 @@
     directory_->on_node_directory_read(entries, now.steady);
     if (entries) {
         operators_->on_store_contact();
+    } else {
+        departure_lookup_->on_own_read_failed(now.steady);
     }
     run_tasks();
 }
@@ -167,6 +186,13 @@
 void node::on_departures_restored(const std::vector<upstream_departure>& departures, const time_sample now) {
     now_ = now;
     departures_->start(departures);
+    departure_lookup_->stop();
+    run_tasks();
+}
+
+void node::on_departures_read(const std::optional<std::vector<host_departures>>& found, const time_sample now) {
+    now_ = now;
+    departure_lookup_->on_read(found);
     run_tasks();
 }
 
--- a/src/goldcrestwell/core/node/operator_source_options.hpp
+++ b/src/goldcrestwell/core/node/operator_source_options.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_CORE_NODE_OPERATOR_SOURCE_OPTIONS_HPP
 
 #include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/common/node_id.hpp"
 #include "goldcrestwell/core/config/store_follower.hpp"
 #include "goldcrestwell/core/message/operator_document.hpp"
 #include "goldcrestwell/core/message/operator_record.hpp"
@@ -34,6 +35,10 @@
     std::function<void()> read_node_directory;
     /** @brief Records the upstreams of this host that have left, in place of those recorded before. */
     std::function<void(const std::vector<upstream_departure>& departures)> write_departures;
+    /** @brief Reads the departures recorded for the hosts of other nodes. */
+    std::function<void(const std::vector<node_id>& nodes)> read_departures;
+    /** @brief Passes on the departures of this host that a peer has read, in place of the own read. */
+    std::function<void(const std::vector<upstream_departure>& departures)> departures_received;
     /** @brief Compresses a document that is sent to other nodes; `pack` and `unpack` may be empty. */
     std::function<std::string(std::string_view payload)> pack;
     std::function<std::optional<std::string>(std::string_view packed)> unpack;
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -108,6 +108,9 @@
                         platform_names::directory_topic, record.key, record.payload, departure_write_timeout,
                         [this](const bool confirmed) { process_.core().on_departure_written(confirmed, loop_.now()); });
                 },
+            .read_departures = [this](const std::vector<node_id>& nodes) { read_departures(nodes); },
+            .departures_received =
+                [this](const std::vector<upstream_departure>& departures) { restore_departures(departures); },
             .pack = pack_document,
             .unpack = unpack_document};
 }
@@ -125,6 +128,21 @@
     });
 }
 
+void sidecar::read_departures(const std::vector<node_id>& nodes) {
+    store_client_.read_newest(platform_names::directory_topic, [this, nodes](const store_page& page) {
+        std::optional<std::vector<host_departures>> found;
+        if (page.outcome == read_outcome::ok) {
+            found.emplace();
+            for (const auto node : nodes) {
+                if (auto directory = decode_directory(page.records, node); directory.departures) {
+                    found->push_back({.node = node, .departures = std::move(*directory.departures)});
+                }
+            }
+        }
+        process_.core().on_departures_read(found, loop_.now());
+    });
+}
+
 // An unreadable record does not show which upstreams have left. It is replaced by the next departure.
 void sidecar::restore_departures(const std::optional<std::vector<upstream_departure>>& departures) {
     if (departures) {
--- a/src/goldcrestwell/platform/sidecar.hpp
+++ b/src/goldcrestwell/platform/sidecar.hpp
@@ -38,6 +38,8 @@
     /** @param departures Recorded departures, or nothing if their record is unreadable. */
     void restore_departures(const std::optional<std::vector<upstream_departure>>& departures);
     void read_node_directory();
+    /** @brief Reads the departures recorded for the hosts of other nodes. */
+    void read_departures(const std::vector<node_id>& nodes);
     void read_rollout_statuses();
 
     event_loop& loop_;
--- a/test/crowd/endless_bytes.cpp
+++ b/test/crowd/endless_bytes.cpp
@@ -193,6 +193,7 @@
         many(introduction(1), small_frames_bytes),
         many(framed(encode(peer_message{heartbeat{}})), small_frames_bytes),
         many(framed(encode(peer_message{attempt_query{}})), small_frames_bytes),
+        many(framed(encode(peer_message{departure_query{}})), small_frames_bytes),
         transfers,
         many(part, 4 * body_bytes),
         framed(encode_transfer_begin(1, body_bytes, "head")) + many(part, 4 * body_bytes),
--- a/test/platform/sidecar.cpp
+++ b/test/platform/sidecar.cpp
@@ -1,4 +1,5 @@
 #include "goldcrestwell/shell/http_headers.hpp"
+#include "platform/free_port.hpp"
 #include "platform/sidecar_cluster.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -195,6 +196,29 @@
     BOOST_TEST(record.find("u-other") != std::string::npos);
 }
 
+// Guards against an upstream that is out of use for seconds, because the store refuses its restarted node while other
+// nodes can read it, and against one that has left and is used because its node can not read that.
+BOOST_FIXTURE_TEST_CASE(restarted_node_learns_departures_from_a_peer, fixture) {
+    BOOST_TEST(cluster.withdraw(first_host) == 200U);
+    const auto store = std::exchange(first_host.settings.store, node_id{0x7F000001, test::free_port()});
+    cluster.start(first_host);
+    BOOST_TEST(cluster.announce(first_host) == 200U);
+    const auto run_count_before = first_host.run_count;
+    const auto runs_at_first = [&] {
+        static_cast<void>(cluster.call(second_host, "GET", "/read/a"));
+        return first_host.run_count > run_count_before;
+    };
+    cluster.run_for(milliseconds{2'000});
+    BOOST_TEST(!runs_at_first());
+    // A later start of the upstream, with a single announcement.
+    ++first_host.born;
+    const auto announced = cluster.loop.now().steady;
+    BOOST_TEST(cluster.announce(first_host) == 200U);
+    BOOST_TEST(cluster.wait_for(runs_at_first));
+    BOOST_TEST((cluster.loop.now().steady - announced < milliseconds{1'500}));
+    first_host.settings.store = store;
+}
+
 // Guards against a departure during the drain of the node that is acknowledged and then forgotten.
 BOOST_FIXTURE_TEST_CASE(departure_during_a_drain_is_recorded, fixture) {
     first_host.sidecar_process->drain();
