Bound the overhead of chunks by the size of the body

Memory and other requests were not affected.

Cause: the parser forgot the bytes of chunk sizes and extensions with each byte of the body, so a body of 8 MiB could carry 8 GB of extensions, and only the deadline ended the message.

Change: these bytes may be four times the limit of the head, and 16 for each byte of the body. It holds for responses of upstreams and the store and for requests of callers.

Evidence: bytes_without_end_are_a_fault with padded chunks fails before the change, for responses and for requests.

--- a/src/goldcrestwell/shell/http_message_parser.cpp
+++ b/src/goldcrestwell/shell/http_message_parser.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint32_t min_final_status = 200;
 // Separators and line ends take up to three bytes for each counted byte of a header.
 constexpr std::size_t overhead_factor = 4;
+// Bytes of chunk sizes, extensions and line ends for each byte of a body; a chunk of one byte needs five.
+constexpr std::size_t max_chunk_overhead = 16;
 // Memory is reserved in steps, so that small messages need few reservations.
 constexpr std::size_t head_memory_step = 4'096;
 constexpr std::size_t min_body_capacity = 4'096;
@@ -100,8 +102,9 @@
             break;
         }
     }
-    overhead_bytes_ = complete_ || body_bytes_ != body_bytes_before ? 0 : overhead_bytes_ + consumed_bytes;
-    if (overhead_bytes_ > overhead_factor * options_.max_header_bytes && fault_ == http_parser_fault::none) {
+    overhead_bytes_ = complete_ ? 0 : overhead_bytes_ + consumed_bytes - (body_bytes_ - body_bytes_before);
+    const auto max_overhead = overhead_factor * options_.max_header_bytes + max_chunk_overhead * body_.size();
+    if (overhead_bytes_ > max_overhead && fault_ == http_parser_fault::none) {
         fail(http_parser_fault::headers_too_large);
     }
     return consumed_bytes;
--- a/test/shell/http_message_parser.cpp
+++ b/test/shell/http_message_parser.cpp
@@ -41,6 +41,7 @@
                                       {chunked + "5", ";a"},
                                       {chunked + "0\r\n", "a: b\r\n"},
                                       {chunked, "5\r\nhello\r\n"},
+                                      {chunked, "1;" + std::string(100, 'e') + "\r\nc\r\n"},
                                       {head + "\r\n", "hello"},
                                       {head + "Content-Length: 99999999\r\n\r\n", "hello"}};
     constexpr std::size_t max_header_bytes = 1'000;
@@ -60,8 +61,13 @@
         BOOST_TEST(bytes_until_fault(false, message) <= 3 * max_body_bytes, message.start << message.repeated);
     }
     const std::string post{"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"};
-    const endless_message requests[]{{"GET /", "a"},     {"GET / HTTP/1.1\r\n", "a: b\r\n"}, {"", "\r\n"},
-                                     {post + "5", ";a"}, {post + "0\r\n", "a: b\r\n"},       {post, "5\r\nhello\r\n"}};
+    const endless_message requests[]{{"GET /", "a"},
+                                     {"GET / HTTP/1.1\r\n", "a: b\r\n"},
+                                     {"", "\r\n"},
+                                     {post + "5", ";a"},
+                                     {post + "0\r\n", "a: b\r\n"},
+                                     {post, "5\r\nhello\r\n"},
+                                     {post, "1;" + std::string(100, 'e') + "\r\nc\r\n"}};
     for (const auto& message : requests) {
         BOOST_TEST(bytes_until_fault(true, message) <= 3 * max_body_bytes, message.start << message.repeated);
     }
