--- a/src/goldcrestwell/core/node/upstream_registry.cpp
+++ b/src/goldcrestwell/core/node/upstream_registry.cpp
@@ -49,8 +49,7 @@
 // A departure is acknowledged before the process that acknowledged it ends, so what arrives later than the maximum
 // delay after the start of this process was sent after every such acknowledgement.
 bool upstream_registry::may_be_late(const upstream_announcement& announcement, const steady_time now) const {
-    return !departures_known_ &&
-           (now < options_.created + max_announcement_delay || !confirms_candidate(announcement));
+    return !departures_known_ && (now < options_.created + max_announcement_delay || !confirms_candidate(announcement));
 }
 
 upstream_change upstream_registry::accept(const upstream_announcement& announcement, const steady_time now) {
