Add offsets that name the history of the store, and events for it

Events and log lines for a record without effect (with the reason and both versions), a replaced history and a late response of an earlier one. Nothing emits them yet; compiled, not run.

--- a/src/goldcrestwell/core/common/fwd.hpp
+++ b/src/goldcrestwell/core/common/fwd.hpp
@@ -15,6 +15,7 @@
 struct counters;
 class invariant_monitor;
 enum class refusal_reason : std::uint8_t;
+enum class skip_reason : std::uint8_t;
 enum class retry_reason : std::uint8_t;
 enum class drop_reason : std::uint8_t;
 enum class invariant_id : std::uint8_t;
--- a/src/goldcrestwell/core/node/node_event.hpp
+++ b/src/goldcrestwell/core/node/node_event.hpp
@@ -2,6 +2,8 @@
 #define GOLDCRESTWELL_CORE_NODE_NODE_EVENT_HPP
 
 #include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/common/skip_reason.hpp"
+#include "goldcrestwell/core/common/store_era.hpp"
 #include "goldcrestwell/core/message/attempt_event.hpp"
 #include "goldcrestwell/core/message/call_event.hpp"
 #include "goldcrestwell/core/message/edit_verdict.hpp"
@@ -52,6 +54,30 @@
     log_offset offset;
 };
 
+/** @brief A record of the operators was read and has no effect. */
+struct record_skipped {
+    std::string key;
+    log_offset offset;
+    skip_reason reason{};
+    /** @brief Offset of the record of this key that stays in effect. */
+    log_offset known_offset;
+    /** @brief Versions of the configuration in the record and in force; zero if the record is none. */
+    std::uint64_t version{};
+    std::uint64_t known_version{};
+};
+
+/** @brief The store returned from an older copy; what it confirmed after the copy was made is lost. */
+struct store_history_replaced {
+    store_era previous;
+    store_era current;
+};
+
+/** @brief A response of an earlier history of the store arrived late and was ignored. */
+struct stale_store_response {
+    store_era era;
+    store_era current;
+};
+
 /** @brief An upstream of this host has announced that it leaves, and was answered. */
 struct departure_answered {
     upstream_departure departure;
@@ -60,9 +86,9 @@
 };
 
 /** @brief Event for the log. */
-using node_event =
-    std::variant<table_changed, became_ready, edit_verdict, member, rollout_update, call_event, attempt_event,
-                 config_applied, rollout_requested, store_changed, record_unreadable, departure_answered>;
+using node_event = std::variant<table_changed, became_ready, edit_verdict, member, rollout_update, call_event,
+                                attempt_event, config_applied, rollout_requested, store_changed, record_unreadable,
+                                departure_answered, record_skipped, store_history_replaced, stale_store_response>;
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestwell/codec/datagram_codec.hpp"
 #include "goldcrestwell/codec/frame_codec.hpp"
+#include "goldcrestwell/core/common/store_offset.hpp"
 #include "goldcrestwell/shell/call_log.hpp"
 #include "goldcrestwell/shell/member_status_name.hpp"
 #include "goldcrestwell/shell/structured_log.hpp"
@@ -300,6 +301,28 @@
               {{"upstream", event.departure.id}, {"recorded", event.recorded}});
 }
 
+void node_process::report(const record_skipped& event) const {
+    write_log(log_level::info, "record_skipped",
+              {{"key", event.key},
+               {"reason", to_string(event.reason)},
+               {"era", era_of(event.offset).value()},
+               {"number", number_of(event.offset)},
+               {"known_era", era_of(event.known_offset).value()},
+               {"known_number", number_of(event.known_offset)},
+               {"version", event.version},
+               {"known_version", event.known_version}});
+}
+
+void node_process::report(const store_history_replaced& event) const {
+    write_log(log_level::warning, "store_history_replaced",
+              {{"previous_era", event.previous.value()}, {"era", event.current.value()}});
+}
+
+void node_process::report(const stale_store_response& event) const {
+    write_log(log_level::warning, "stale_store_response",
+              {{"response_era", event.era.value()}, {"era", event.current.value()}});
+}
+
 void node_process::report(const record_unreadable& event) const {
     write_log(log_level::warning, "record_unreadable", {{"key", event.key}, {"offset", event.offset.value()}});
 }
--- a/src/goldcrestwell/shell/node_process.hpp
+++ b/src/goldcrestwell/shell/node_process.hpp
@@ -81,6 +81,9 @@
     void report(const store_changed& event) const;
     void report(const departure_answered& event) const;
     void report(const record_unreadable& event) const;
+    void report(const record_skipped& event) const;
+    void report(const store_history_replaced& event) const;
+    void report(const stale_store_response& event) const;
     void check_drain();
     void finish_drain(std::size_t aborted_calls);
 
