Name the configuration that decided a call in its log lines

No line said which version of the configuration chose the route of a call, so an engineer could not tell an old version in force from a queued or repeated call. The dispatcher now fixes the version when it chooses the route, and calls refused with no_route, queue_full or too_many_hops at that point are reported as well; they left no line. The ledger fixes the version in force at the arrival of an attempt. It is not sent with the attempt: the codec rejects frames with unknown fields, so nodes of both versions could not call each other.

--- a/src/goldcrestwell/core/call/attempt_ledger.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.cpp
@@ -136,7 +136,7 @@
 
 void attempt_ledger::on_oversized_request(const node_id from, const attempt_request& request, const time_sample now) {
     if (is_new(from, request, now)) {
-        report(request, refusal_reason::out_of_memory, {}, {});
+        report(request, config_version(), refusal_reason::out_of_memory, {}, {});
         refuse_new(request.id, refusal_reason::out_of_memory, now.steady);
     }
 }
@@ -146,7 +146,7 @@
         return;
     }
     if (const auto reason = check_admission(request, now.steady); reason != refusal_reason::none) {
-        report(request, reason, {}, {});
+        report(request, config_version(), reason, {}, {});
         refuse_new(request.id, reason, now.steady);
         return;
     }
@@ -225,7 +225,7 @@
 }
 
 void attempt_ledger::enqueue(const attempt_request& request, const steady_time now) {
-    entry item{.request = request};
+    entry item{.request = request, .config_version = config_version()};
     item.arrived = now;
     item.deadline = now + request.call.timeout;
     item.queue_deadline = item.deadline;
@@ -354,8 +354,8 @@
     if (refusal != nullptr) {
         options_.counts->attempt_refusals.add(refusal->reason);
     }
-    report(item.request, refusal != nullptr ? refusal->reason : refusal_reason::none, item.started - item.arrived,
-           now.steady - item.started);
+    report(item.request, item.config_version, refusal != nullptr ? refusal->reason : refusal_reason::none,
+           item.started - item.arrived, now.steady - item.started);
     send_result(id, outcome);
     start_next(now.steady);
 }
--- a/src/goldcrestwell/core/call/attempt_ledger.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger.hpp
@@ -64,6 +64,8 @@
     /** @brief Attempt that is queued or running. */
     struct entry {
         attempt_request request;
+        /** @brief Version of the configuration in force when the attempt arrived. */
+        std::uint64_t config_version{};
         steady_time deadline{};
         steady_time arrived{};
         steady_time started{};
@@ -92,8 +94,9 @@
     void resend_result(const attempt_id& id, const archived_attempt& ended);
     void refuse_mismatched(steady_time now);
     void update_service_time(const entry& item, const upstream_result& result, steady_time now);
-    void report(const attempt_request& request, refusal_reason reason, std::chrono::microseconds queued,
-                std::chrono::microseconds at_upstream) const;
+    void report(const attempt_request& request, std::uint64_t config_version, refusal_reason reason,
+                std::chrono::microseconds queued, std::chrono::microseconds at_upstream) const;
+    [[nodiscard]] std::uint64_t config_version() const;
     void send_result(const attempt_id& id, const call_result& result);
     void send_refusal(const attempt_id& id, refusal_reason reason, steady_time now);
     void observe(const entry& item, const upstream_result& result, bool call_failed, steady_time now);
--- a/src/goldcrestwell/core/call/attempt_ledger_options.hpp
+++ b/src/goldcrestwell/core/call/attempt_ledger_options.hpp
@@ -14,6 +14,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 
 namespace goldcrestwell {
@@ -47,6 +48,8 @@
     std::function<void(const call_observation&)> observe;
     /** @brief Checks whether calls of a row must be refused because the upstream fails them; may be empty. */
     std::function<bool(const row_key&)> is_row_failing;
+    /** @brief Returns the version of the configuration in force, for reports; may be empty. */
+    std::function<std::uint64_t()> config_version;
     /** @brief Reports the outcome of each attempt; may be empty. */
     std::function<void(const attempt_event&)> report;
     counters* counts{};
--- a/src/goldcrestwell/core/call/attempt_ledger_replies.cpp
+++ b/src/goldcrestwell/core/call/attempt_ledger_replies.cpp
@@ -64,7 +64,7 @@
     if (!options_.invariants->check(invariant_id::drain_cuts_nothing, !draining_ || is_allowed_in_drain)) {
         return;
     }
-    report(item.request, reason, now - item.arrived, {});
+    report(item.request, item.config_version, reason, now - item.arrived, {});
     queue_.erase({.route = item.request.route, .version = item.request.version}, id);
     queue_deadlines_.erase({item.queue_deadline, id});
     active_.erase(found);
@@ -73,14 +73,20 @@
     send_refusal(id, reason, now);
 }
 
-void attempt_ledger::report(const attempt_request& request, const refusal_reason reason,
-                            const std::chrono::microseconds queued, const std::chrono::microseconds at_upstream) const {
+std::uint64_t attempt_ledger::config_version() const {
+    return options_.config_version ? options_.config_version() : 0;
+}
+
+void attempt_ledger::report(const attempt_request& request, const std::uint64_t config_version,
+                            const refusal_reason reason, const std::chrono::microseconds queued,
+                            const std::chrono::microseconds at_upstream) const {
     if (!options_.report) {
         return;
     }
     options_.report({.request_id = request.call.request_id,
                      .route = request.route,
                      .version = request.version,
+                     .config_version = config_version,
                      .origin = request.id.origin,
                      .reason = reason,
                      .depth = request.call.hops,
--- a/src/goldcrestwell/core/call/call_dispatcher.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.cpp
@@ -59,12 +59,12 @@
     const auto key = ++last_call_;
     ++options_.counts->calls;
     if (const auto reason = check_request(request); reason != refusal_reason::none) {
-        reply_refusal(key, {.reason = reason, .state = run_state::not_run});
+        refuse_new(key, request, reason, now);
         return call_id{key};
     }
     auto route = options_.find_route(request);
     if (!route) {
-        reply_refusal(key, {.reason = refusal_reason::no_route, .state = run_state::not_run});
+        refuse_new(key, request, refusal_reason::no_route, now);
         return call_id{key};
     }
     const auto timeout = request.timeout > std::chrono::milliseconds{} ? request.timeout : options_.default_timeout;
@@ -74,6 +74,7 @@
     auto& state = found->second;
     state.request = std::move(request);
     state.route = std::move(*route);
+    state.config_version = config_version();
     state.started = now.steady;
     state.deadline = now.steady + std::min(timeout, options_.max_timeout);
     const auto sent = send_attempt(key, state, true, now);
--- a/src/goldcrestwell/core/call/call_dispatcher.hpp
+++ b/src/goldcrestwell/core/call/call_dispatcher.hpp
@@ -63,6 +63,8 @@
     struct call_state {
         call_request request;
         route_view route;
+        /** @brief Version of the configuration that decided the route. */
+        std::uint64_t config_version{};
         steady_time started;
         steady_time deadline;
         std::vector<node_id> tried_nodes;
@@ -95,6 +97,9 @@
     void finish(call_map::iterator found, const call_result& result);
     void refuse(call_map::iterator found, const call_refusal& refusal);
     void reply_refusal(std::uint64_t key, call_refusal refusal);
+    /** @brief Refuses a call that has no state yet. */
+    void refuse_new(std::uint64_t key, const call_request& request, refusal_reason reason, time_sample now);
+    [[nodiscard]] std::uint64_t config_version() const;
     void report(const call_state& state, call_step step, refusal_reason reason, run_state run) const;
     [[nodiscard]] bool retry_failed_response(call_map::iterator found, const http_response& response, time_sample now);
     [[nodiscard]] attempt_id id_of(const attempt& sent) const;
--- a/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
+++ b/src/goldcrestwell/core/call/call_dispatcher_attempts.cpp
@@ -257,6 +257,23 @@
     options_.reply(call_id{key}, refusal);
 }
 
+void call_dispatcher::refuse_new(const std::uint64_t key, const call_request& request, const refusal_reason reason,
+                                 const time_sample now) {
+    if (options_.report) {
+        options_.report({.step = call_step::refused,
+                         .request_id = request.request_id,
+                         .config_version = config_version(),
+                         .reason = reason,
+                         .run = run_state::not_run,
+                         .started = now.steady});
+    }
+    reply_refusal(key, {.reason = reason, .state = run_state::not_run});
+}
+
+std::uint64_t call_dispatcher::config_version() const {
+    return options_.config_version ? options_.config_version() : 0;
+}
+
 void call_dispatcher::report(const call_state& state, const call_step step, const refusal_reason reason,
                              const run_state run) const {
     if (!options_.report) {
@@ -267,6 +284,7 @@
                      .route = state.route.route,
                      .service = state.route.service,
                      .version = state.current.version,
+                     .config_version = state.config_version,
                      .target = state.current.target,
                      .attempts = state.retries + state.redirects + 1,
                      .reason = reason,
--- a/src/goldcrestwell/core/call/call_dispatcher_options.hpp
+++ b/src/goldcrestwell/core/call/call_dispatcher_options.hpp
@@ -53,6 +53,8 @@
     upstream_selector_options selection;
 
     std::function<std::optional<route_view>(const call_request& call)> find_route;
+    /** @brief Returns the version of the configuration that `find_route` uses, for reports; may be empty. */
+    std::function<std::uint64_t()> config_version;
     std::function<row_policy(const row_key&)> find_policy;
     std::function<std::vector<version_share>(const route_view&)> shares;
     /** @brief Returns the live candidates, local ones first; the span is valid until the current event is handled. */
--- a/src/goldcrestwell/core/message/attempt_event.hpp
+++ b/src/goldcrestwell/core/message/attempt_event.hpp
@@ -17,6 +17,8 @@
     std::string request_id;
     route_name route;
     upstream_version version;
+    /** @brief Version of the configuration in force at this node when the attempt arrived. */
+    std::uint64_t config_version{};
     /** @brief Node of the caller. */
     node_id origin;
     refusal_reason reason{};
--- a/src/goldcrestwell/core/message/call_event.hpp
+++ b/src/goldcrestwell/core/message/call_event.hpp
@@ -23,6 +23,8 @@
     route_name route;
     service_name service;
     upstream_version version;
+    /** @brief Version of the configuration that decided the route, or that had none. */
+    std::uint64_t config_version{};
     /** @brief Node of the last attempt. */
     node_id target;
     std::uint32_t attempts{};
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -207,6 +207,7 @@
     counts_.refusals.add(reason);
     options_.hooks.event(call_event{.step = call_step::refused,
                                     .request_id = call.request_id,
+                                    .config_version = config_version(),
                                     .reason = reason,
                                     .run = run_state::not_run,
                                     .started = now_.steady});
--- a/src/goldcrestwell/core/node/node_wiring.cpp
+++ b/src/goldcrestwell/core/node/node_wiring.cpp
@@ -88,6 +88,7 @@
             .retries = options_.calls.retries,
             .selection = {.seed = options_.seed, .slow_start = options_.calls.slow_start},
             .find_route = [this](const call_request& call) { return find_route(call); },
+            .config_version = [this] { return config_version(); },
             .find_policy = [this](const row_key& key) { return find_policy(key); },
             .shares = [this](const route_view& route) { return shares_of(route); },
             .candidates = [this](const service_name& service,
@@ -123,6 +124,7 @@
             .observe =
                 [this](const call_observation& observation) { queue([this, observation] { observe(observation); }); },
             .is_row_failing = [this](const row_key& row) { return is_row_failing(row); },
+            .config_version = [this] { return config_version(); },
             .report = [this](const attempt_event& event) { record_attempt(event); },
             .counts = &counts_,
             .invariants = &invariants_};
--- a/test/core/call/call_dispatcher.cpp
+++ b/test/core/call/call_dispatcher.cpp
@@ -292,4 +292,49 @@
     BOOST_TEST(node.dispatcher.in_progress() == 0U);
 }
 
+// Guards against a report that names the configuration in force at the end of a call instead of the one that decided
+// its route.
+BOOST_AUTO_TEST_CASE(reports_name_the_configuration_that_decided_the_route) {
+    std::uint64_t config_version = 7;
+    std::vector<call_event> events;
+    call_dispatcher_options options;
+    options.config_version = [&config_version] {
+        return config_version;
+    };
+    options.report = [&events](const call_event& event) {
+        events.push_back(event);
+    };
+    fixture node{options};
+    node.start("GET");
+    config_version = 8;
+    node.refuse_last_attempt(refusal_reason::queue_full, run_state::not_run);
+    node.refuse_last_attempt(refusal_reason::queue_full, run_state::not_run);
+    BOOST_REQUIRE(events.size() == 3U);
+    for (const auto& event : events) {
+        BOOST_TEST(event.config_version == 7U);
+    }
+    BOOST_TEST((events.back().step == call_step::refused));
+}
+
+// Guards against calls without a route that leave no trace of the configuration that lacked it.
+BOOST_AUTO_TEST_CASE(calls_without_a_route_are_reported) {
+    std::vector<call_event> events;
+    call_dispatcher_options options;
+    options.config_version = [] {
+        return std::uint64_t{7};
+    };
+    options.report = [&events](const call_event& event) {
+        events.push_back(event);
+    };
+    fixture node{options};
+    node.dispatcher.start({.request_id = "abc", .target = "/none"}, at(0s));
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST((events.front().step == call_step::refused));
+    BOOST_TEST(events.front().request_id == "abc");
+    BOOST_TEST((events.front().reason == refusal_reason::no_route));
+    BOOST_TEST((events.front().run == run_state::not_run));
+    BOOST_TEST(events.front().config_version == 7U);
+    BOOST_TEST(node.only_result_is_refusal(refusal_reason::no_route, run_state::not_run));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/shell/structured_log.cpp
+++ b/test/shell/structured_log.cpp
@@ -1,40 +1,17 @@
 #include "goldcrestwell/shell/structured_log.hpp"
 
 #include "goldcrestwell/cli/file_text.hpp"
+#include "shell/temporary_folder.hpp"
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
-#include <filesystem>
-
 using namespace goldcrestwell;
 
-namespace {
-
-/** @brief Temporary folder that is removed on destruction. */
-struct temporary_folder {
-    temporary_folder() {
-        auto name = (std::filesystem::temp_directory_path() / "goldcrestwell-log-XXXXXX").string();
-        BOOST_REQUIRE(mkdtemp(name.data()) != nullptr);
-        path = name;
-    }
-    ~temporary_folder() {
-        std::error_code ignored;
-        std::filesystem::remove_all(path, ignored);
-    }
-    temporary_folder(const temporary_folder&) = delete;
-    temporary_folder& operator=(const temporary_folder&) = delete;
-
-    std::filesystem::path path;
-};
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(structured_log)
 
 // Guards against values that split a line or forge a field, and against writing lines below the minimum level.
 BOOST_AUTO_TEST_CASE(values_with_special_characters_are_quoted) {
-    const temporary_folder folder;
+    const test::temporary_folder folder;
     const auto file = (folder.path / "lines.log").string();
     configure_log({.level = log_level::info, .file = file});
     write_log(log_level::warning, "event_name",
