Log plain successes at level info within a limit

What is left out costs no formatting; it is counted in call_lines_omitted_total and in the field `omitted` of the next line of a call. Refusals, retries and late responses are not limited by it, and the limit of the whole log still applies to all of them.

--- a/src/goldcrestwell/core/common/counters.hpp
+++ b/src/goldcrestwell/core/common/counters.hpp
@@ -24,6 +24,8 @@
     enum_counters<retry_reason, retry_reason_count> retries;
     /** @brief Number of discarded inputs, by reason. */
     enum_counters<drop_reason, drop_reason_count> drops;
+    /** @brief Number of answered calls whose log line was left out because of its limit. */
+    std::uint64_t omitted_call_lines{};
 };
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/shell/call_log.cpp
+++ b/src/goldcrestwell/shell/call_log.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <string_view>
+#include <utility>
 
 namespace goldcrestwell {
 
@@ -13,21 +14,28 @@
 constexpr std::array<std::string_view, 4> step_names{"call_sent", "call_answered", "call_refused", "call_cancelled"};
 constexpr std::array<std::string_view, 3> run_state_names{"not_run", "ran", "unknown"};
 
-// Refusals, retries and late responses are needed to investigate complaints, so they have a higher level than plain
-// successes.
-log_level level_of(const call_event& event, const std::chrono::microseconds elapsed) {
+bool is_plain(const call_event& event, const std::chrono::microseconds elapsed) {
     const auto late = event.objective > std::chrono::milliseconds{} && elapsed > event.objective;
-    const auto plain = event.reason == refusal_reason::none && event.attempts <= 1 && !late;
-    return plain ? log_level::debug : log_level::info;
+    return event.reason == refusal_reason::none && event.attempts <= 1 && !late;
 }
 
 } // namespace
 
-void write_call_log(const call_event& event, const steady_time now) {
+// Refusals, retries and late responses are needed to investigate complaints, so each has a line. Plain successes show
+// which configuration decided a call; at a high rate they would displace the other lines.
+bool call_log::write(const call_event& event, const steady_time now) {
+    if (!log_enabled(log_level::info)) {
+        return true;
+    }
     const auto elapsed = now - event.started;
-    const auto level = level_of(event, elapsed);
-    if (!log_enabled(level)) {
-        return;
+    auto level = log_level::info;
+    if (is_plain(event, elapsed)) {
+        const auto is_success = event.step == call_step::answered;
+        level = is_success && plain_lines_.take(now) ? log_level::info : log_level::debug;
+        if (!log_enabled(level)) {
+            omitted_ += is_success ? 1 : 0;
+            return !is_success;
+        }
     }
     write_log(level, step_names[static_cast<std::size_t>(event.step)],
               {{"request", event.request_id},
@@ -40,7 +48,9 @@
                {"reason", to_string(event.reason)},
                {"run", run_state_names[static_cast<std::size_t>(event.run)]},
                {"objective_ms", event.objective.count()},
-               {"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()}});
+               {"elapsed_ms", std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()},
+               {"omitted", std::exchange(omitted_, 0)}});
+    return true;
 }
 
 void write_attempt_log(const attempt_event& event) {
--- a/src/goldcrestwell/shell/metrics_text.cpp
+++ b/src/goldcrestwell/shell/metrics_text.cpp
@@ -78,6 +78,8 @@
                           counts.attempt_refusals);
     writer.write_counters("call_retries_total", "reason", "Retries of attempts.", counts.retries);
     writer.write_counters("drops_total", "reason", "Dropped messages and connections.", counts.drops);
+    writer.write_metric("call_lines_omitted_total", "counter", "Answered calls without a log line.",
+                        counts.omitted_call_lines);
 }
 
 void write_latency(metrics_writer& writer, const std::string& name, const std::string_view help,
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -3,7 +3,6 @@
 #include "goldcrestwell/codec/datagram_codec.hpp"
 #include "goldcrestwell/codec/frame_codec.hpp"
 #include "goldcrestwell/core/common/store_offset.hpp"
-#include "goldcrestwell/shell/call_log.hpp"
 #include "goldcrestwell/shell/member_status_name.hpp"
 #include "goldcrestwell/shell/structured_log.hpp"
 
@@ -236,30 +235,30 @@
               {{"reason", to_string(reason)}, {"memory_in_use", options_.memory ? options_.memory->used() : 0}});
 }
 
-void node_process::report(const node_event& event) const {
+void node_process::report(const node_event& event) {
     std::visit([this](const auto& alternative) { report(alternative); }, event);
 }
 
-void node_process::report(const table_changed& event) const {
+void node_process::report(const table_changed& event) {
     write_log(log_level::info, "table_changed", {{"version", event.version.value()}, {"rows", event.rows}});
 }
 
-void node_process::report(const became_ready& event) const {
+void node_process::report(const became_ready& event) {
     write_log(log_level::info, "ready", {{"position", event.position.value()}});
 }
 
-void node_process::report(const edit_verdict& event) const {
+void node_process::report(const edit_verdict& event) {
     write_log(log_level::info, "edit_decided",
               {{"id", to_string(event.id)}, {"offset", event.offset.value()}, {"verdict", to_string(event.reason)}});
 }
 
-void node_process::report(const member& event) const {
+void node_process::report(const member& event) {
     write_log(
         log_level::debug, "member_changed",
         {{"node", to_string(event.id)}, {"status", name_of(event.status)}, {"incarnation", event.incarnation.value()}});
 }
 
-void node_process::report(const rollout_update& event) const {
+void node_process::report(const rollout_update& event) {
     write_log(log_level::info, "move_changed",
               {{"route", event.key.row.route.value},
                {"upstream_version", event.key.row.version.value},
@@ -271,37 +270,39 @@
                {"rechecks", static_cast<unsigned>(event.state.rechecks)}});
 }
 
-void node_process::report(const call_event& event) const {
-    write_call_log(event, loop_.now().steady);
+void node_process::report(const call_event& event) {
+    if (!call_log_.write(event, loop_.now().steady)) {
+        ++core_.counts().omitted_call_lines;
+    }
 }
 
-void node_process::report(const attempt_event& event) const {
+void node_process::report(const attempt_event& event) {
     write_attempt_log(event);
 }
 
-void node_process::report(const config_applied& event) const {
+void node_process::report(const config_applied& event) {
     write_log(log_level::info, "config_applied",
               {{"version", event.version}, {"routes", event.routes}, {"position", event.position.value()}});
 }
 
-void node_process::report(const rollout_requested& event) const {
+void node_process::report(const rollout_requested& event) {
     write_log(log_level::info, "rollout_ordered",
               {{"service", event.request.service.value},
                {"target", event.request.target.value},
                {"duration_ms", event.request.duration.count()}});
 }
 
-void node_process::report(const store_changed& event) const {
+void node_process::report(const store_changed& event) {
     write_log(event.reachable ? log_level::info : log_level::warning,
               event.reachable ? "store_reachable" : "store_lost");
 }
 
-void node_process::report(const departure_answered& event) const {
+void node_process::report(const departure_answered& event) {
     write_log(event.recorded ? log_level::info : log_level::warning, "departure_answered",
               {{"upstream", event.departure.id}, {"recorded", event.recorded}});
 }
 
-void node_process::report(const record_skipped& event) const {
+void node_process::report(const record_skipped& event) {
     write_log(log_level::info, "record_skipped",
               {{"key", event.key},
                {"reason", to_string(event.reason)},
@@ -313,17 +314,17 @@
                {"known_version", event.known_version}});
 }
 
-void node_process::report(const store_history_replaced& event) const {
+void node_process::report(const store_history_replaced& event) {
     write_log(log_level::warning, "store_history_replaced",
               {{"previous_era", event.previous.value()}, {"era", event.current.value()}});
 }
 
-void node_process::report(const stale_store_response& event) const {
+void node_process::report(const stale_store_response& event) {
     write_log(log_level::warning, "stale_store_response",
               {{"response_era", event.era.value()}, {"era", event.current.value()}});
 }
 
-void node_process::report(const record_unreadable& event) const {
+void node_process::report(const record_unreadable& event) {
     write_log(log_level::warning, "record_unreadable", {{"key", event.key}, {"offset", event.offset.value()}});
 }
 
--- a/src/goldcrestwell/shell/node_process.hpp
+++ b/src/goldcrestwell/shell/node_process.hpp
@@ -4,6 +4,7 @@
 #include "goldcrestwell/core/common/memory_budget.hpp"
 #include "goldcrestwell/core/node/node.hpp"
 #include "goldcrestwell/shell/admin_listener.hpp"
+#include "goldcrestwell/shell/call_log.hpp"
 #include "goldcrestwell/shell/caller_listener.hpp"
 #include "goldcrestwell/shell/event_loop.hpp"
 #include "goldcrestwell/shell/gossip_socket.hpp"
@@ -68,22 +69,22 @@
     [[nodiscard]] caller_listener_options make_caller_options();
     /** @brief Counts and logs a request that was refused before it was complete. */
     void report(http_parser_fault fault);
-    void report(const node_event& event) const;
-    void report(const table_changed& event) const;
-    void report(const became_ready& event) const;
-    void report(const edit_verdict& event) const;
-    void report(const member& event) const;
-    void report(const rollout_update& event) const;
-    void report(const call_event& event) const;
-    void report(const attempt_event& event) const;
-    void report(const config_applied& event) const;
-    void report(const rollout_requested& event) const;
-    void report(const store_changed& event) const;
-    void report(const departure_answered& event) const;
-    void report(const record_unreadable& event) const;
-    void report(const record_skipped& event) const;
-    void report(const store_history_replaced& event) const;
-    void report(const stale_store_response& event) const;
+    void report(const node_event& event);
+    void report(const table_changed& event);
+    void report(const became_ready& event);
+    void report(const edit_verdict& event);
+    void report(const member& event);
+    void report(const rollout_update& event);
+    void report(const call_event& event);
+    void report(const attempt_event& event);
+    void report(const config_applied& event);
+    void report(const rollout_requested& event);
+    void report(const store_changed& event);
+    void report(const departure_answered& event);
+    void report(const record_unreadable& event);
+    void report(const record_skipped& event);
+    void report(const store_history_replaced& event);
+    void report(const stale_store_response& event);
     void check_drain();
     void finish_drain(std::size_t aborted_calls);
 
@@ -95,6 +96,7 @@
     bool drain_finished_{};
     steady_time drain_deadline_{};
     std::optional<steady_time> caller_close_at_;
+    call_log call_log_;
 
     timer core_timer_;
     timer drain_timer_;
