Show positions in the store as a number and an era

A packed offset is unreadable and can not be compared with the store. Lines of a node with a store print the number and the era apart (`position`, `offset` and `row_version`, each with `era`); /status and /metrics show config_position as the number and config_era. Positions in the platform's log are shown as before. records_skipped_total counts records without effect by reason.

--- a/src/goldcrestwell/core/common/counters.hpp
+++ b/src/goldcrestwell/core/common/counters.hpp
@@ -5,6 +5,7 @@
 #include "goldcrestwell/core/common/enum_counters.hpp"
 #include "goldcrestwell/core/common/refusal_reason.hpp"
 #include "goldcrestwell/core/common/retry_reason.hpp"
+#include "goldcrestwell/core/common/skip_reason.hpp"
 
 #include <cstdint>
 
@@ -24,6 +25,8 @@
     enum_counters<retry_reason, retry_reason_count> retries;
     /** @brief Number of discarded inputs, by reason. */
     enum_counters<drop_reason, drop_reason_count> drops;
+    /** @brief Number of records of the operators without effect, by reason. */
+    enum_counters<skip_reason, skip_reason_count> record_skips;
     /** @brief Number of answered calls whose log line was left out because of its limit. */
     std::uint64_t omitted_call_lines{};
 };
--- a/src/goldcrestwell/core/common/skip_reason.cpp
+++ b/src/goldcrestwell/core/common/skip_reason.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 3> names{"known_offset", "older_version", "known_request"};
+constexpr std::array<std::string_view, skip_reason_count> names{"known_offset", "older_version", "known_request"};
 
 } // namespace
 
--- a/src/goldcrestwell/core/common/skip_reason.hpp
+++ b/src/goldcrestwell/core/common/skip_reason.hpp
@@ -1,6 +1,7 @@
 #ifndef GOLDCRESTWELL_CORE_COMMON_SKIP_REASON_HPP
 #define GOLDCRESTWELL_CORE_COMMON_SKIP_REASON_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -13,6 +14,8 @@
     known_request, /**< The rollout was requested by an earlier record already. */
 };
 
+inline constexpr std::size_t skip_reason_count = 3;
+
 /** @return Name used in logs. */
 [[nodiscard]] std::string_view to_string(skip_reason value) noexcept;
 
--- a/src/goldcrestwell/shell/metrics_text.cpp
+++ b/src/goldcrestwell/shell/metrics_text.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestwell/core/common/memory_budget.hpp"
 #include "goldcrestwell/core/node/node.hpp"
+#include "goldcrestwell/shell/position_view.hpp"
 
 #include <algorithm>
 #include <array>
@@ -78,6 +79,8 @@
                           counts.attempt_refusals);
     writer.write_counters("call_retries_total", "reason", "Retries of attempts.", counts.retries);
     writer.write_counters("drops_total", "reason", "Dropped messages and connections.", counts.drops);
+    writer.write_counters("records_skipped_total", "reason", "Records of the operators without effect.",
+                          counts.record_skips);
     writer.write_metric("call_lines_omitted_total", "counter", "Answered calls without a log line.",
                         counts.omitted_call_lines);
 }
@@ -132,8 +135,11 @@
 std::string metrics_text(const node& core, const process_usage& usage, const memory_budget* memory) {
     metrics_writer writer;
     writer.write_metric("ready", "gauge", "1 if the node serves calls.", core.ready() ? 1 : 0);
-    writer.write_metric("config_position", "gauge", "Offset of the last log record that was read.",
-                        core.position().value());
+    const auto position = position_view::of(core.position(), core.operators() != nullptr);
+    writer.write_metric("config_position", "gauge", "Number of the last log record that was read.", position.number);
+    if (position.era) {
+        writer.write_metric("config_era", "gauge", "Era of the last record that was read.", position.era->value());
+    }
     writer.write_metric("config_version", "gauge", "Version of the current configuration.", core.config_version());
     write_calls(writer, core);
     write_latencies(writer, core);
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -4,6 +4,7 @@
 #include "goldcrestwell/codec/frame_codec.hpp"
 #include "goldcrestwell/core/common/store_offset.hpp"
 #include "goldcrestwell/shell/member_status_name.hpp"
+#include "goldcrestwell/shell/position_view.hpp"
 #include "goldcrestwell/shell/structured_log.hpp"
 
 #include <utility>
@@ -235,6 +236,15 @@
               {{"reason", to_string(reason)}, {"memory_in_use", options_.memory ? options_.memory->used() : 0}});
 }
 
+void node_process::append_position(std::vector<log_field>& fields, const std::string_view name,
+                                   const log_offset position) const {
+    const auto view = position_view::of(position, core_.operators() != nullptr);
+    fields.emplace_back(name, view.number);
+    if (view.era) {
+        fields.emplace_back("era", view.era->value());
+    }
+}
+
 void node_process::report(const node_event& event) {
     std::visit([this](const auto& alternative) { report(alternative); }, event);
 }
@@ -244,7 +254,9 @@
 }
 
 void node_process::report(const became_ready& event) {
-    write_log(log_level::info, "ready", {{"position", event.position.value()}});
+    std::vector<log_field> fields;
+    append_position(fields, "position", event.position);
+    write_log(log_level::info, "ready", fields);
 }
 
 void node_process::report(const edit_verdict& event) {
@@ -259,15 +271,15 @@
 }
 
 void node_process::report(const rollout_update& event) {
-    write_log(log_level::info, "move_changed",
-              {{"route", event.key.row.route.value},
-               {"upstream_version", event.key.row.version.value},
-               {"row_version", event.key.row_version.value()},
-               {"stage", static_cast<unsigned>(event.state.stage)},
-               {"done", static_cast<unsigned>(event.state.done)},
-               {"taken_back", static_cast<unsigned>(event.state.rolled_back)},
-               {"reason", to_string(event.state.reason)},
-               {"rechecks", static_cast<unsigned>(event.state.rechecks)}});
+    std::vector<log_field> fields{{"route", event.key.row.route.value},
+                                  {"upstream_version", event.key.row.version.value}};
+    append_position(fields, "row_version", event.key.row_version);
+    fields.emplace_back("stage", static_cast<unsigned>(event.state.stage));
+    fields.emplace_back("done", static_cast<unsigned>(event.state.done));
+    fields.emplace_back("taken_back", static_cast<unsigned>(event.state.rolled_back));
+    fields.emplace_back("reason", to_string(event.state.reason));
+    fields.emplace_back("rechecks", static_cast<unsigned>(event.state.rechecks));
+    write_log(log_level::info, "move_changed", fields);
 }
 
 void node_process::report(const call_event& event) {
@@ -281,8 +293,9 @@
 }
 
 void node_process::report(const config_applied& event) {
-    write_log(log_level::info, "config_applied",
-              {{"version", event.version}, {"routes", event.routes}, {"position", event.position.value()}});
+    std::vector<log_field> fields{{"version", event.version}, {"routes", event.routes}};
+    append_position(fields, "position", event.position);
+    write_log(log_level::info, "config_applied", fields);
 }
 
 void node_process::report(const rollout_requested& event) {
@@ -303,6 +316,7 @@
 }
 
 void node_process::report(const record_skipped& event) {
+    core_.counts().record_skips.add(event.reason);
     write_log(log_level::info, "record_skipped",
               {{"key", event.key},
                {"reason", to_string(event.reason)},
@@ -325,7 +339,9 @@
 }
 
 void node_process::report(const record_unreadable& event) {
-    write_log(log_level::warning, "record_unreadable", {{"key", event.key}, {"offset", event.offset.value()}});
+    std::vector<log_field> fields{{"key", event.key}};
+    append_position(fields, "offset", event.offset);
+    write_log(log_level::warning, "record_unreadable", fields);
 }
 
 } // namespace goldcrestwell
--- a/src/goldcrestwell/shell/node_process.hpp
+++ b/src/goldcrestwell/shell/node_process.hpp
@@ -9,6 +9,7 @@
 #include "goldcrestwell/shell/event_loop.hpp"
 #include "goldcrestwell/shell/gossip_socket.hpp"
 #include "goldcrestwell/shell/log_client.hpp"
+#include "goldcrestwell/shell/log_field.hpp"
 #include "goldcrestwell/shell/peer_transport.hpp"
 #include "goldcrestwell/shell/start_failure.hpp"
 #include "goldcrestwell/shell/timer.hpp"
@@ -19,6 +20,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
+#include <vector>
 
 namespace goldcrestwell {
 
@@ -69,6 +72,8 @@
     [[nodiscard]] caller_listener_options make_caller_options();
     /** @brief Counts and logs a request that was refused before it was complete. */
     void report(http_parser_fault fault);
+    /** @brief Appends a position to the fields of a line; a position in the store has an era. */
+    void append_position(std::vector<log_field>& fields, std::string_view name, log_offset position) const;
     void report(const node_event& event);
     void report(const table_changed& event);
     void report(const became_ready& event);
--- a/src/goldcrestwell/shell/status_json.cpp
+++ b/src/goldcrestwell/shell/status_json.cpp
@@ -2,6 +2,7 @@
 
 #include "goldcrestwell/core/node/node.hpp"
 #include "goldcrestwell/shell/member_status_name.hpp"
+#include "goldcrestwell/shell/position_view.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -53,18 +54,22 @@
 } // namespace
 
 std::string status_json(const node& core, const process_usage& usage) {
-    const json document{{"node", to_string(core.options().self)},
-                        {"data_centre", core.options().data_centre.value},
-                        {"region", core.options().region.value},
-                        {"ready", core.ready()},
-                        {"config_position", core.position().value()},
-                        {"config_version", core.config_version()},
-                        {"in_progress", core.in_progress()},
-                        {"invariant_violations", core.invariants().violations()},
-                        {"processor_ms", usage.processor_time.count() / 1000},
-                        {"peak_memory_bytes", usage.peak_memory_bytes},
-                        {"counters", counters_json(core.counts())},
-                        {"members", members_json(core.members())}};
+    const auto position = position_view::of(core.position(), core.operators() != nullptr);
+    json document{{"node", to_string(core.options().self)},
+                  {"data_centre", core.options().data_centre.value},
+                  {"region", core.options().region.value},
+                  {"ready", core.ready()},
+                  {"config_position", position.number}};
+    if (position.era) {
+        document["config_era"] = position.era->value();
+    }
+    document.update(json{{"config_version", core.config_version()},
+                         {"in_progress", core.in_progress()},
+                         {"invariant_violations", core.invariants().violations()},
+                         {"processor_ms", usage.processor_time.count() / 1000},
+                         {"peak_memory_bytes", usage.peak_memory_bytes},
+                         {"counters", counters_json(core.counts())},
+                         {"members", members_json(core.members())}});
     return document.dump(indentation) + '\n';
 }
 
--- a/src/goldcrestwell/shell/structured_log.cpp
+++ b/src/goldcrestwell/shell/structured_log.cpp
@@ -54,8 +54,7 @@
     return "invalid";
 }
 
-std::string format_line(const log_level level, const std::string_view event,
-                        const std::initializer_list<log_field> fields) {
+std::string format_line(const log_level level, const std::string_view event, const std::span<const log_field> fields) {
     std::string line{"level="};
     line += level_name(level);
     line += " event=";
@@ -146,6 +145,10 @@
 }
 
 void write_log(const log_level level, const std::string_view event, const std::initializer_list<log_field> fields) {
+    write_log(level, event, std::span{fields.begin(), fields.size()});
+}
+
+void write_log(const log_level level, const std::string_view event, const std::span<const log_field> fields) {
     auto* const sink = el::Helpers::logDispatchCallback<standard_output>("standard_output");
     if (!log_enabled(level) || (sink != nullptr && !sink->admit(level))) {
         return;
--- a/src/goldcrestwell/shell/structured_log.hpp
+++ b/src/goldcrestwell/shell/structured_log.hpp
@@ -5,6 +5,7 @@
 #include "goldcrestwell/shell/log_field.hpp"
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -28,6 +29,7 @@
  * @param event Name of the event, in lower case with underscores.
  */
 void write_log(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
+void write_log(log_level level, std::string_view event, std::span<const log_field> fields);
 
 } // namespace goldcrestwell
 
