Read the directory of nodes again after the store's history was replaced

A store that returns from an older copy may have lost the entry of a node that started since the copy, and nobody wrote it again: a node looked for its entry only until it had found or written it.

node_directory::on_history_replaced schedules one read after a random delay of up to 2 s, and the entry is written if that read does not find it. The result of a read or write that was in flight at the time does not count. Repeated reports neither postpone the read nor add one.

Six new tests fail if the function does nothing; three of them also fail if results in flight count. The seventh (no call before the first read) holds without the change too. The node does not call it yet.

--- a/src/goldcrestwell/core/membership/node_directory.hpp
+++ b/src/goldcrestwell/core/membership/node_directory.hpp
@@ -26,6 +26,8 @@
     std::chrono::milliseconds new_entry_delay{200};
     /** @brief Interval between reads while no other live node is known. */
     std::chrono::milliseconds isolated_read_interval{2'000};
+    /** @brief Longest delay before the directory is read again after the history of the store was replaced. */
+    std::chrono::milliseconds max_check_delay{2'000};
     /** @brief Writes this node's entry to the store. */
     std::function<void()> write_node_entry;
     /** @brief Reads the entries of all nodes from the store. */
@@ -45,6 +47,8 @@
  * Two nodes that start at the same time may both read before either has written; a node that knows no other live node
  * therefore reads again. All others are connected: of two groups of nodes, each of which found an earlier writer, the
  * node that read last found members of both.
+ *
+ * A store that returns from an older copy may have lost the entry; each node then reads the directory again.
  */
 class node_directory {
 public:
@@ -54,18 +58,27 @@
     void on_written(bool confirmed, steady_time now);
     /** @param entries Nodes with an entry, or nothing if the read failed. */
     void on_node_directory_read(const std::optional<std::vector<node_id>>& entries, steady_time now);
+    /** @brief Schedules a read that checks whether the entry of this node was lost; may be called repeatedly. */
+    void on_history_replaced(steady_time now);
     void on_timer(steady_time now);
-    [[nodiscard]] std::optional<steady_time> next_timer() const noexcept { return next_call_; }
+    [[nodiscard]] std::optional<steady_time> next_timer() const noexcept;
 
 private:
-    void schedule_retry(steady_time now);
+    void read();
+    [[nodiscard]] steady_time next_retry(steady_time now);
+    [[nodiscard]] std::chrono::milliseconds random_delay(std::chrono::milliseconds min, std::chrono::milliseconds max);
+    [[nodiscard]] bool is_check_due(steady_time now) const noexcept;
 
     node_directory_options options_;
     std::mt19937_64 random_;
     std::chrono::milliseconds retry_delay_;
     bool directory_read_{};
     bool entry_written_{};
+    bool read_in_flight_{};
+    /** @brief True if the read in flight started after the history was replaced. */
+    bool check_in_flight_{};
     std::optional<steady_time> next_call_;
+    std::optional<steady_time> next_check_;
 };
 
 } // namespace goldcrestwell
--- a/test/core/membership/node_directory.cpp
+++ b/test/core/membership/node_directory.cpp
@@ -203,4 +203,110 @@
     }
 }
 
+// Guards against an entry that stays lost after the store has returned from an older copy.
+BOOST_FIXTURE_TEST_CASE(lost_entry_is_written_again, fixture) {
+    directory.start();
+    directory.on_node_directory_read(std::vector{self, other}, now);
+    directory.on_history_replaced(now);
+    advance(milliseconds{2'000});
+    BOOST_TEST(reads == 2);
+    BOOST_TEST(writes == 0);
+    directory.on_node_directory_read(std::vector{other}, now);
+    BOOST_TEST(writes == 1);
+    directory.on_written(true, now);
+    for (int i = 0; i < 60; ++i) {
+        advance(milliseconds{1'000});
+    }
+    BOOST_TEST(reads == 2);
+    BOOST_TEST(writes == 1);
+}
+
+// Guards against writes of all nodes if the copy holds their entries.
+BOOST_FIXTURE_TEST_CASE(entry_of_the_copy_is_not_written_again, fixture) {
+    directory.start();
+    directory.on_node_directory_read(std::vector{self, other}, now);
+    directory.on_history_replaced(now);
+    advance(milliseconds{2'000});
+    directory.on_node_directory_read(std::vector{self, other}, now);
+    advance(milliseconds{10'000});
+    BOOST_TEST(reads == 2);
+    BOOST_TEST(writes == 0);
+}
+
+// Guards against a check that peers, which report the later history with each position, postpone or multiply.
+BOOST_FIXTURE_TEST_CASE(repeated_reports_of_a_replaced_history_cause_one_read, fixture) {
+    directory.start();
+    directory.on_node_directory_read(std::vector{self, other}, now);
+    directory.on_history_replaced(now);
+    const auto due = directory.next_timer();
+    for (int i = 0; i < 40; ++i) {
+        directory.on_history_replaced(now);
+        if (reads == 1) {
+            BOOST_TEST((directory.next_timer() == due));
+        }
+        advance(milliseconds{50});
+    }
+    BOOST_TEST(reads == 2);
+    directory.on_node_directory_read(std::vector{self, other}, now);
+    advance(milliseconds{10'000});
+    BOOST_TEST(reads == 2);
+}
+
+// Guards against a write of the replaced history that is taken for an entry in the present one.
+BOOST_FIXTURE_TEST_CASE(write_that_was_in_flight_does_not_count_as_an_entry, fixture) {
+    directory.start();
+    directory.on_node_directory_read(std::vector{other}, now);
+    directory.on_history_replaced(now);
+    directory.on_written(true, now);
+    advance(milliseconds{2'000});
+    directory.on_node_directory_read(std::vector{other}, now);
+    BOOST_TEST(writes == 2);
+}
+
+// Guards against a read of the replaced history that is taken for the check, and against a timer that stays due
+// meanwhile.
+BOOST_FIXTURE_TEST_CASE(check_waits_for_the_end_of_an_earlier_read, fixture) {
+    isolated = true;
+    directory.start();
+    directory.on_node_directory_read(std::vector{self, other}, now);
+    advance(milliseconds{2'000});
+    BOOST_TEST(reads == 2);
+    isolated = false;
+    directory.on_history_replaced(now);
+    advance(milliseconds{2'000});
+    BOOST_TEST(reads == 2);
+    BOOST_TEST(!directory.next_timer().has_value());
+    directory.on_node_directory_read(std::vector{self, other}, now);
+    advance(milliseconds{0});
+    BOOST_TEST(reads == 3);
+    directory.on_node_directory_read(std::vector{other}, now);
+    BOOST_TEST(writes == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(failed_check_is_repeated, fixture) {
+    directory.start();
+    directory.on_node_directory_read(std::vector{self, other}, now);
+    directory.on_history_replaced(now);
+    advance(milliseconds{2'000});
+    directory.on_node_directory_read(std::nullopt, now);
+    directory.on_history_replaced(now);
+    advance(milliseconds{2'000});
+    BOOST_TEST(reads == 3);
+    directory.on_node_directory_read(std::nullopt, now);
+    advance(milliseconds{10'000});
+    BOOST_TEST(reads == 4);
+    BOOST_TEST(writes == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(replaced_history_does_not_add_a_call_before_the_first_read, fixture) {
+    directory.on_history_replaced(now);
+    advance(milliseconds{10'000});
+    BOOST_TEST(reads == 0);
+    directory.start();
+    directory.on_history_replaced(now);
+    directory.on_node_directory_read(std::vector{self}, now);
+    advance(milliseconds{10'000});
+    BOOST_TEST(reads == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
