Record departures again after the store's history was replaced

An acknowledged departure is binding, but a store that returns from an older copy may have lost it, and a recorder that had it confirmed did not write it again.

departure_recorder::on_history_replaced writes all known departures at once: those of this process and those read from the record of earlier ones. A write that was in flight may have been applied before the change, so it is repeated whatever its result, and acknowledges nothing.

Four new tests fail without the function, one of them if a write in flight counts. Two more (no write without a departure, none before the start) hold without the change too. The node does not call it yet.

--- a/src/goldcrestwell/core/node/departure_recorder.cpp
+++ b/src/goldcrestwell/core/node/departure_recorder.cpp
@@ -10,6 +10,7 @@
 
 void departure_recorder::record(const std::vector<upstream_departure>& departures, answer_hook answer,
                                 const steady_time now) {
+    known_ = departures;
     if (recorded_ == departures) {
         answer(true);
         return;
@@ -24,12 +25,22 @@
 
 void departure_recorder::start(const std::vector<upstream_departure>& departures) {
     started_ = true;
+    known_ = departures;
     if (!pending_.empty()) {
         pending_ = departures;
         write();
     }
 }
 
+void departure_recorder::on_history_replaced() {
+    in_flight_outdated_ = in_flight_.has_value();
+    recorded_.clear();
+    pending_ = known_;
+    if (!pending_.empty()) {
+        write();
+    }
+}
+
 void departure_recorder::write() {
     if (started_ && !in_flight_) {
         write_at_.reset();
@@ -40,6 +51,11 @@
 
 void departure_recorder::on_written(const bool confirmed, const steady_time now) {
     auto written = *std::exchange(in_flight_, std::nullopt);
+    if (std::exchange(in_flight_outdated_, false)) {
+        // The store may have applied the write before it returned from the copy.
+        write();
+        return;
+    }
     if (!confirmed) {
         write_at_ = now + retry_delay_;
         retry_delay_ = std::min(retry_delay_ * 2, options_.max_retry_delay);
--- a/src/goldcrestwell/core/node/departure_recorder.hpp
+++ b/src/goldcrestwell/core/node/departure_recorder.hpp
@@ -54,6 +54,8 @@
     [[nodiscard]] bool started() const noexcept { return started_; }
     /** @return True if a departure is not recorded yet. */
     [[nodiscard]] bool is_waiting() const noexcept { return !pending_.empty(); }
+    /** @brief Records all departures again, because the store has returned from an older copy. */
+    void on_history_replaced();
     /** @brief Handles the result of the outstanding write. */
     void on_written(bool confirmed, steady_time now);
     void on_timer(steady_time now);
@@ -72,10 +74,14 @@
     departure_recorder_options options_;
     std::chrono::milliseconds retry_delay_;
     bool started_{};
+    /** @brief Newest departures of `record` and `start`. */
+    std::vector<upstream_departure> known_;
     std::vector<upstream_departure> recorded_;
     /** @brief Departures that are to be recorded; empty if there are none. */
     std::vector<upstream_departure> pending_;
     std::optional<std::vector<upstream_departure>> in_flight_;
+    /** @brief True if the write in flight started before the history of the store was replaced. */
+    bool in_flight_outdated_{};
     /** @brief Answers in the order in which they are due. */
     std::vector<waiting_answer> waiting_;
     std::optional<steady_time> write_at_;
--- a/test/core/node/departure_recorder.cpp
+++ b/test/core/node/departure_recorder.cpp
@@ -126,4 +126,75 @@
     BOOST_TEST(acknowledgements == 2);
 }
 
+// Guards against an acknowledged departure that is forgotten after the store has returned from an older copy.
+BOOST_AUTO_TEST_CASE(recorded_departures_are_recorded_again_after_the_history_was_replaced) {
+    record({first});
+    recorder.on_written(true, now);
+    recorder.on_history_replaced();
+    BOOST_TEST((writes == records{{first}, {first}}));
+    recorder.on_written(false, now);
+    advance(milliseconds{100});
+    BOOST_TEST((writes == records{{first}, {first}, {first}}));
+    recorder.on_written(true, now);
+    BOOST_TEST(acknowledgements == 1);
+    BOOST_TEST(!recorder.next_timer().has_value());
+}
+
+// Guards against a departure that an earlier process acknowledged and that only the lost records held.
+BOOST_FIXTURE_TEST_CASE(departures_of_earlier_processes_are_recorded_again, fixture) {
+    recorder.start({first});
+    BOOST_TEST(writes.empty());
+    recorder.on_history_replaced();
+    BOOST_TEST((writes == records{{first}}));
+    recorder.on_written(true, now);
+    record({first, second});
+    recorder.on_written(true, now);
+    recorder.on_history_replaced();
+    BOOST_TEST((writes == records{{first}, {first, second}, {first, second}}));
+}
+
+// Guards against an acknowledgement by a write that the store applied before it lost its newest records.
+BOOST_AUTO_TEST_CASE(write_of_the_replaced_history_acknowledges_nothing) {
+    record({first});
+    recorder.on_history_replaced();
+    BOOST_TEST((writes == records{{first}}));
+    recorder.on_written(true, now);
+    BOOST_TEST(acknowledgements == 0);
+    BOOST_TEST((writes == records{{first}, {first}}));
+    recorder.on_history_replaced();
+    recorder.on_written(false, now);
+    BOOST_TEST((writes == records{{first}, {first}, {first}}));
+    recorder.on_written(true, now);
+    BOOST_TEST(acknowledgements == 1);
+    BOOST_TEST(!recorder.next_timer().has_value());
+}
+
+// Guards against an acknowledgement from memory while the departure is not recorded in the present history.
+BOOST_AUTO_TEST_CASE(departure_is_not_acknowledged_from_the_replaced_history) {
+    record({first});
+    recorder.on_written(true, now);
+    recorder.on_history_replaced();
+    record({first});
+    BOOST_TEST(acknowledgements == 1);
+    BOOST_TEST(writes.size() == 2U);
+    recorder.on_written(true, now);
+    BOOST_TEST(acknowledgements == 2);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_written_without_a_departure) {
+    recorder.on_history_replaced();
+    advance(milliseconds{1'000});
+    BOOST_TEST(writes.empty());
+    BOOST_TEST(!recorder.next_timer().has_value());
+}
+
+// Guards against a record that replaces the departures that earlier processes recorded, before they are known.
+BOOST_FIXTURE_TEST_CASE(replaced_history_does_not_allow_writes_before_the_start, fixture) {
+    record({second});
+    recorder.on_history_replaced();
+    BOOST_TEST(writes.empty());
+    recorder.start({first, second});
+    BOOST_TEST((writes == records{{first, second}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
