Discard results of a replaced history in the recorder of statuses

A status is written if its topic still ends where it was read. After the store has returned from an older copy, offsets are given out again, so the condition of an earlier read may hold by accident, and a confirmed write may be lost.

After status_recorder::on_history_replaced, the result of a call that was in flight doesn't count: a read is repeated before a write, and a status that was being written is pending again. A read whose end belongs to an earlier history than the last one counts as failed.

The operator source does not call it yet.

--- a/src/goldcrestwell/core/rollout/status_recorder.cpp
+++ b/src/goldcrestwell/core/rollout/status_recorder.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestwell/core/rollout/status_recorder.hpp"
 
+#include "goldcrestwell/core/common/store_offset.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -24,10 +26,15 @@
 
 void status_recorder::on_read(const std::optional<std::vector<rollout_status>>& statuses, const log_offset end) {
     read_in_progress_ = false;
-    if (!statuses) {
+    if (std::exchange(call_outdated_, false)) {
+        read();
+        return;
+    }
+    if (!statuses || era_of(end) < era_) {
         pending_.clear();
         return;
     }
+    era_ = era_of(end);
     for (const auto& status : *statuses) {
         const auto pending = pending_.find(status.service);
         const auto same_rollout = pending != pending_.end() && pending->second.target == status.target;
@@ -49,7 +56,11 @@
 
 void status_recorder::on_written(const bool confirmed) {
     const auto written = std::exchange(in_flight_, std::nullopt);
-    if (confirmed && written) {
+    if (std::exchange(call_outdated_, false)) {
+        if (written) {
+            pending_.emplace(written->service, *written);
+        }
+    } else if (confirmed && written) {
         options_.recorded(*written);
     }
     if (!pending_.empty()) {
@@ -57,4 +68,8 @@
     }
 }
 
+void status_recorder::on_history_replaced() {
+    call_outdated_ = read_in_progress_ || in_flight_.has_value();
+}
+
 } // namespace goldcrestwell
