Bind offsets and positions of the store to the history that they belong to

Cause: offsets go back and are given out again, and nodes compared them with those of the lost history. A record whose offset was not above the lost ones was dropped, a read went on at the lost position, and peers at a higher position of the lost history counted as ahead.

Change: the store reports the era of its history with each response. store_history compares it with the latest known one; a response of an earlier era has no effect. An offset of the store holds the era in its upper half, so that any offset of a later history is above all of an earlier one, in the register of documents, in positions that nodes tell each other, in pulls and batches. A read that is answered in another era than its position is dropped, and the newest records are read instead. What a copy holds may be older than what nodes have applied: the newer configuration stays in force, is kept for peers, and a node that has read a new history by itself asks one peer for what the store has lost. A record without effect has a line that says why.

Why this works: the comparison is right for any two numbers, whatever was given out again and however late a response or message arrives; nothing depends on noticing the return in time.

--- a/src/goldcrestwell/core/config/document_register.cpp
+++ b/src/goldcrestwell/core/config/document_register.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestwell/core/config/document_register.hpp"
 
+#include "goldcrestwell/core/common/store_offset.hpp"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -16,20 +18,32 @@
     }
     std::ranges::stable_sort(sorted_records, {}, &operator_record::offset);
     position_ = std::max(position_, through);
-    if (pull_ && pull_->position <= position_) {
+    if (pull_ && pull_->position <= position_ && !pull_->is_full) {
         pull_.reset();
     }
     for (const auto* record : sorted_records) {
         auto& known = newest_records_[record->key];
-        if (record->offset > known.offset) {
-            known = *record;
-            options_.record_changed(known);
+        if (record->offset == known.offset) {
+            continue;
+        }
+        // What the store has lost may be newer than its copy, whose offsets are higher.
+        if (record->offset > known.offset || era_of(record->offset) < era_of(known.offset)) {
+            if (options_.record_changed(*record) || known.offset == log_offset{}) {
+                known = *record;
+            }
+        } else if (options_.record_outdated) {
+            options_.record_outdated(*record, known.offset);
         }
     }
 }
 
+bool document_register::lacks_peer_records() const noexcept {
+    return peer_records_era_ < era_of(position_);
+}
+
 void document_register::on_peer_position(const node_id from, const log_offset position, const steady_time now) {
-    if (position <= position_) {
+    const auto is_full = lacks_peer_records() && position != log_offset{};
+    if (position <= position_ && !is_full) {
         return;
     }
     const auto same_data_centre = options_.is_in_same_data_centre && options_.is_in_same_data_centre(from);
@@ -40,10 +54,11 @@
                                : (same_data_centre ? options_.same_data_centre_pull_delay : options_.pull_delay);
     const auto due = now + delay;
     if (!pull_) {
-        pull_ = pending_pull{.from = from, .position = position, .due = due};
+        pull_ = pending_pull{.from = from, .position = position, .due = due, .is_full = is_full};
     } else if (position > pull_->position || (same_data_centre && position == pull_->position)) {
         pull_->from = from;
         pull_->position = position;
+        pull_->is_full = pull_->is_full || is_full;
         pull_->due = std::min(pull_->due, due);
     }
 }
@@ -67,6 +82,10 @@
 }
 
 void document_register::on_batch(const document_batch& batch) {
+    peer_records_era_ = std::max(peer_records_era_, era_of(std::max(position_, batch.through)));
+    if (pull_ && pull_->is_full) {
+        pull_.reset();
+    }
     if (!options_.unpack) {
         on_records(batch.records, batch.through);
         return;
@@ -86,7 +105,7 @@
 void document_register::on_timer(const steady_time now) {
     if (pull_ && now >= pull_->due) {
         pull_->due = now + options_.pull_retry_delay;
-        options_.send_pull(pull_->from, {.after = position_});
+        options_.send_pull(pull_->from, {.after = pull_->is_full ? log_offset{} : position_});
     }
 }
 
--- a/src/goldcrestwell/core/config/document_register.hpp
+++ b/src/goldcrestwell/core/config/document_register.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_CORE_CONFIG_DOCUMENT_REGISTER_HPP
 
 #include "goldcrestwell/core/common/node_id.hpp"
+#include "goldcrestwell/core/common/store_era.hpp"
 #include "goldcrestwell/core/common/time.hpp"
 #include "goldcrestwell/core/message/document_batch.hpp"
 #include "goldcrestwell/core/message/document_pull.hpp"
@@ -43,14 +44,24 @@
     std::function<std::optional<std::string>(std::string_view packed_payload)> unpack;
     /** @brief Reports a record from a peer that could not be unpacked. */
     std::function<void(const operator_record&)> record_unreadable;
-    /** @brief Reports a newer record of a key; called in the order of offsets within one batch. */
-    std::function<void(const operator_record&)> record_changed;
+    /**
+     * @brief Reports a record of a key that may replace the known one; called in the order of offsets within one batch.
+     *
+     * The record is a later one, or one that an earlier history of the store held. Returns false if the known record
+     * stays in effect; it is then kept, also for peers.
+     */
+    std::function<bool(const operator_record&)> record_changed;
+    /** @brief Reports a record that is older than the known one of its key; may be empty. */
+    std::function<void(const operator_record& record, log_offset known)> record_outdated;
 };
 
 /**
  * @brief Newest operator record of each key, from the store or from peers.
  *
  * The record with the highest offset in the store wins, so batches of the store and of peers merge in any order.
+ * Offsets of a later history of the store are higher. A record that only an earlier history held is kept until its key
+ * is written again. A peer may hold one that this node has never had, so a node that has read a new history itself asks
+ * a peer for all records once.
  */
 class document_register {
 public:
@@ -86,14 +97,21 @@
         node_id from;
         log_offset position;
         steady_time due;
+        /** @brief All records are requested, not only those after the own position. */
+        bool is_full{};
     };
 
+    /** @return True if peers may hold records that the store has lost and this node has never had. */
+    [[nodiscard]] bool lacks_peer_records() const noexcept;
+
     [[nodiscard]] const std::string& packed_payload(const operator_record& record);
 
     document_register_options options_;
     std::map<std::string, operator_record, std::less<>> newest_records_;
     std::map<std::string, packed_record, std::less<>> packed_;
     log_offset position_;
+    /** @brief Era of the position when the last records of a peer were merged. */
+    store_era peer_records_era_;
     std::optional<pending_pull> pull_;
 };
 
--- a/src/goldcrestwell/core/config/store_follower.cpp
+++ b/src/goldcrestwell/core/config/store_follower.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestwell/core/config/store_follower.hpp"
 
+#include "goldcrestwell/core/common/store_offset.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -26,6 +28,7 @@
 
 void store_follower::read() {
     next_read_at_.reset();
+    requested_ = position_;
     if (position_) {
         options_.read_after(*position_, last_read_failed_ ? std::chrono::milliseconds{} : options_.long_poll);
     } else {
@@ -43,6 +46,9 @@
         return;
     }
     set_reachable(true);
+    if (drop_if_replaced(page, now)) {
+        return;
+    }
     retry_delay_ = options_.min_retry_delay;
     if (page.outcome == read_outcome::expired) {
         position_.reset();
@@ -63,6 +69,24 @@
     read();
 }
 
+bool store_follower::drop_if_replaced(const store_page& page, const steady_time now) {
+    const auto era = era_of(page.end);
+    if (position_ && era < era_of(*position_)) {
+        // A peer has read a later history than the one that answered.
+        schedule_read(retry_delay_, now);
+        retry_delay_ = std::min(retry_delay_ * 2, options_.max_retry_delay);
+        return true;
+    }
+    if (!requested_ || era == era_of(*requested_)) {
+        return false;
+    }
+    if (position_ && era_of(*position_) < era) {
+        position_.reset();
+    }
+    read();
+    return true;
+}
+
 void store_follower::schedule_read(const std::chrono::milliseconds max_delay, const steady_time now) {
     std::uniform_int_distribution<std::chrono::milliseconds::rep> delay{max_delay.count() / 2, max_delay.count()};
     next_read_at_ = now + std::chrono::milliseconds{delay(random_)};
--- a/src/goldcrestwell/core/config/store_follower.hpp
+++ b/src/goldcrestwell/core/config/store_follower.hpp
@@ -58,6 +58,9 @@
 /**
  * @brief Follows the topic of operator records: reads the newest records first, then long-polls for each change.
  *
+ * A position holds only in the history of the store in which it was read. If a read is answered from another one, its
+ * records are dropped, because others may precede them, and the newest records are read again.
+ *
  * After a failed read it reads without waiting until a read succeeds, because a long poll to a store that does not
  * respond would hide the end of the outage.
  *
@@ -84,6 +87,8 @@
 
 private:
     void read();
+    /** @return True if a page belongs to another history than the request and was dropped. */
+    [[nodiscard]] bool drop_if_replaced(const store_page& page, steady_time now);
     [[nodiscard]] bool awaits_peer_records(steady_time now) const;
     void schedule_read(std::chrono::milliseconds max_delay, steady_time now);
     [[nodiscard]] bool is_on_standby() const { return options_.reads_immediately && !options_.reads_immediately(); }
@@ -93,6 +98,8 @@
     std::mt19937_64 random_;
     /** @brief Position up to which the topic was read; empty until the newest records were read. */
     std::optional<log_offset> position_;
+    /** @brief Position of the outstanding read; empty for a read of the newest records. */
+    std::optional<log_offset> requested_;
     std::chrono::milliseconds retry_delay_;
     std::optional<steady_time> next_read_at_;
     /** @brief Time until which the first records may come from peers. */
--- /dev/null
+++ b/src/goldcrestwell/core/config/store_history.cpp
@@ -0,0 +1,28 @@
+#include "goldcrestwell/core/config/store_history.hpp"
+
+#include <utility>
+
+namespace goldcrestwell {
+
+store_history::store_history(store_history_options options) : options_{std::move(options)} {}
+
+std::optional<store_era> store_history::on_response(const std::optional<store_era> era) {
+    if (!era) {
+        responses_without_era_ += era_ ? 1U : 0U;
+        return era_;
+    }
+    if (*era < era_) {
+        ++stale_responses_;
+        options_.stale_response(*era, era_);
+        return std::nullopt;
+    }
+    const auto previous = std::exchange(era_, *era);
+    // A node that has just started does not know the history that this one replaced.
+    if (previous && previous != *era) {
+        ++replacements_;
+        options_.replaced(previous, *era);
+    }
+    return era_;
+}
+
+} // namespace goldcrestwell
--- a/src/goldcrestwell/core/config/store_page.hpp
+++ b/src/goldcrestwell/core/config/store_page.hpp
@@ -12,7 +12,7 @@
 /** @brief Outcome of a read from the store. */
 enum class read_outcome : std::uint8_t {
     ok,
-    expired, /**< The requested records are no longer kept, only the newest of each key. */
+    expired, /**< The store does not have the records at the requested position. */
     failed   /**< The store refused the read, was unreachable, timed out or returned unreadable data. */
 };
 
@@ -20,7 +20,7 @@
 struct store_page {
     read_outcome outcome{read_outcome::failed};
     std::vector<operator_record> records;
-    /** @brief Number of records that were ever appended to the topic. */
+    /** @brief Position after the last record; it holds the era of the response, unless the read failed. */
     log_offset end;
 };
 
--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -9,9 +9,8 @@
 node::node(node_options options)
     : options_{std::move(options)}, invariants_{options_.hooks.invariant_violated}, candidates_{options_.data_centre},
       membership_{make_membership_options()}, follower_{make_follower_options()}, rollout_{make_rollout_options()},
-      dispatcher_{make_dispatcher_options()}, ledger_{make_ledger_options()}, edits_{
-                                                                                  {.append_record =
-                                                                                       options_.hooks.append_record}} {
+      dispatcher_{make_dispatcher_options()}, ledger_{make_ledger_options()},
+      edits_{{.append_record = options_.hooks.append_record}}, history_{make_history_options()} {
     if (options_.operators) {
         operators_.emplace(*options_.operators, make_operator_links());
         directory_.emplace(make_directory_options());
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -9,6 +9,7 @@
 #include "goldcrestwell/core/common/latency_summary.hpp"
 #include "goldcrestwell/core/common/time.hpp"
 #include "goldcrestwell/core/config/config_follower.hpp"
+#include "goldcrestwell/core/config/store_history.hpp"
 #include "goldcrestwell/core/membership/membership.hpp"
 #include "goldcrestwell/core/membership/node_directory.hpp"
 #include "goldcrestwell/core/message/call_request.hpp"
@@ -98,6 +99,12 @@
     /** @brief Starts a graceful shutdown; new work is refused after `drain_refusal_delay`. */
     void on_drain(time_sample now);
 
+    /**
+     * @brief Handles a response of the store, before its result; requires `operators` to be set.
+     * @param era Era that the response reports, if any.
+     * @return Era of the response, or nothing if it belongs to an earlier history and must be ignored.
+     */
+    [[nodiscard]] std::optional<store_era> on_store_response(std::optional<store_era> era, time_sample now);
     /** @brief Handles a finished read of the operators' topic; this and the next five require `operators` to be set. */
     void on_store_page(const store_page& page, time_sample now);
     /** @brief Handles a finished read of the recorded rollout states; `statuses` is empty if it failed. */
@@ -137,6 +144,8 @@
     [[nodiscard]] log_offset position() const noexcept;
     /** @return Version of the active configuration; zero if there is none. */
     [[nodiscard]] std::uint64_t config_version() const;
+    /** @return History of the store, if the configuration comes from there. */
+    [[nodiscard]] const store_history& history() const noexcept { return history_; }
     [[nodiscard]] const membership& members() const noexcept { return membership_; }
     [[nodiscard]] const config_follower& follower() const noexcept { return follower_; }
     [[nodiscard]] const rollout_engine& rollout() const noexcept { return rollout_; }
@@ -164,6 +173,7 @@
     [[nodiscard]] node_directory_options make_directory_options();
     [[nodiscard]] departure_recorder_options make_departure_options();
     [[nodiscard]] departure_lookup_options make_lookup_options();
+    [[nodiscard]] store_history_options make_history_options();
 
     void queue(task work) { tasks_.push_back(std::move(work)); }
     /** @brief Runs the queued actions, then advertises the position and schedules the next timer. */
@@ -212,6 +222,7 @@
     void add_upstream_version(const member& record);
     void receive_rollout(const rollout_update& update);
     void receive_position(node_id from, log_offset position);
+    void on_history_replaced(store_era previous, store_era current);
     void observe(const call_observation& observation);
     [[nodiscard]] bool refuses_work() const noexcept;
     /** @return Time at which accepted work has to end; empty if no drain limits it yet. */
@@ -243,6 +254,7 @@
     call_dispatcher dispatcher_;
     attempt_ledger ledger_;
     edit_tracker edits_;
+    store_history history_;
     std::optional<operator_source> operators_;
     std::optional<node_directory> directory_;
     std::optional<departure_recorder> departures_;
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -75,10 +75,15 @@
             [this](const bool reachable) {
                 options_.hooks.event(goldcrestwell::store_changed{.reachable = reachable});
             },
-        .record_skipped =
+        .record_unreadable =
             [this](const operator_record& record) {
                 counts_.drops.add(drop_reason::record_unreadable);
                 options_.hooks.event(record_unreadable{.key = record.key, .offset = record.offset});
+            },
+        .record_skipped =
+            [this](const record_skipped& skipped) {
+                counts_.drops.add(drop_reason::record_old);
+                options_.hooks.event(skipped);
             }};
 }
 
@@ -124,6 +129,26 @@
             .read = options_.operators->hooks.read_departures};
 }
 
+store_history_options node::make_history_options() {
+    return {.replaced = [this](const store_era previous,
+                               const store_era current) { on_history_replaced(previous, current); },
+            .stale_response =
+                [this](const store_era era, const store_era current) {
+                    options_.hooks.event(stale_store_response{.era = era, .current = current});
+                }};
+}
+
+void node::on_history_replaced(const store_era previous, const store_era current) {
+    options_.hooks.event(store_history_replaced{.previous = previous, .current = current});
+}
+
+std::optional<store_era> node::on_store_response(const std::optional<store_era> era, const time_sample now) {
+    now_ = now;
+    const auto response_era = history_.on_response(era);
+    run_tasks();
+    return response_era;
+}
+
 // The other nodes of the data centre are notified of a change by these readers and fetch it from them, without a call
 // to the store.
 bool node::reads_store_immediately() const {
--- a/src/goldcrestwell/core/node/operator_source.cpp
+++ b/src/goldcrestwell/core/node/operator_source.cpp
@@ -43,10 +43,14 @@
                  .send_batch = links_.send_batch,
                  .pack = options_.hooks.pack,
                  .unpack = options_.hooks.unpack,
-                 .record_unreadable = links_.record_skipped,
-                 .record_changed =
-                     [this](const operator_record& record) {
-                         apply_record(record);
+                 .record_unreadable = links_.record_unreadable,
+                 .record_changed = [this](const operator_record& record) { return apply_record(record); },
+                 .record_outdated =
+                     [this](const operator_record& record, const log_offset known) {
+                         links_.record_skipped({.key = record.key,
+                                                .offset = record.offset,
+                                                .reason = skip_reason::known_offset,
+                                                .known_offset = known});
                      }}},
       follower_{{.seed = links_.seed,
                  .long_poll = options_.long_poll,
@@ -132,29 +136,44 @@
     return next;
 }
 
-void operator_source::apply_record(const operator_record& record) {
+bool operator_source::apply_record(const operator_record& record) {
     if (record.payload.empty()) {
-        return;
+        return true;
     }
     const auto document = options_.hooks.decode(record);
     if (!document) {
-        links_.record_skipped(record);
-        return;
+        links_.record_unreadable(record);
+        return true;
     }
-    std::visit([this, &record](const auto& decoded) { apply(decoded, record); }, *document);
-}
-
-void operator_source::apply(const routing_config& config, const operator_record& /*record*/) {
-    if (config_ && config.version <= config_->version) {
-        return;
+    return std::visit([this, &record](const auto& decoded) { return apply(decoded, record); }, *document);
+}
+
+// The active configuration never gets older: a copy of the store may hold an earlier version than this node has
+// applied.
+bool operator_source::apply(const routing_config& config, const operator_record& record) {
+    if (config_ && config.version < config_->version) {
+        links_.record_skipped({.key = record.key,
+                               .offset = record.offset,
+                               .reason = skip_reason::older_version,
+                               .known_offset = config_offset_,
+                               .version = config.version,
+                               .known_version = config_->version});
+        return false;
+    }
+    if (config_ && config.version == config_->version) {
+        const auto is_later = record.offset > config_offset_;
+        config_offset_ = std::max(config_offset_, record.offset);
+        return is_later;
     }
+    config_offset_ = record.offset;
     config_ = config;
     route_configs_ = route_config_index{config.routes};
     std::erase_if(service_pickers_, [this](const auto& item) { return route_configs_.find(item.first) == nullptr; });
     links_.config_changed(*config_);
+    return true;
 }
 
-void operator_source::apply(const rollout_request& request, const operator_record& record) {
+bool operator_source::apply(const rollout_request& request, const operator_record& record) {
     rollouts_.on_request(request, record.offset, now_);
     links_.rollout_request_received(request);
     if (rollouts_.is_coordinator(request.service)) {
@@ -162,6 +181,7 @@
     } else {
         status_check_due_ = now_.steady + status_check_delay;
     }
+    return true;
 }
 
 std::optional<route_view> operator_source::find_route(const call_request& call) {
--- a/src/goldcrestwell/core/node/operator_source.hpp
+++ b/src/goldcrestwell/core/node/operator_source.hpp
@@ -7,6 +7,7 @@
 #include "goldcrestwell/core/config/store_follower.hpp"
 #include "goldcrestwell/core/message/call_request.hpp"
 #include "goldcrestwell/core/message/row_key.hpp"
+#include "goldcrestwell/core/node/node_event.hpp"
 #include "goldcrestwell/core/node/operator_source_options.hpp"
 #include "goldcrestwell/core/rollout/service_rollouts.hpp"
 #include "goldcrestwell/core/rollout/status_recorder.hpp"
@@ -39,8 +40,10 @@
     std::function<void(const routing_config&)> config_changed;
     std::function<void(const rollout_request&)> rollout_request_received;
     std::function<void(bool reachable)> store_changed;
-    /** @brief Called for a record that is skipped because it could not be decoded. */
-    std::function<void(const operator_record&)> record_skipped;
+    /** @brief Called for a record that could not be decoded. */
+    std::function<void(const operator_record&)> record_unreadable;
+    /** @brief Called for a record that was read and has no effect. */
+    std::function<void(const record_skipped&)> record_skipped;
 };
 
 /** @brief Active configuration and rollouts, from operators' documents in the store or received from peers. */
@@ -76,9 +79,10 @@
 private:
     /** @brief Reads the recorded rollout states if the state of a rollout is still unknown. */
     void check_statuses();
-    void apply_record(const operator_record& record);
-    void apply(const routing_config& config, const operator_record& record);
-    void apply(const rollout_request& request, const operator_record& record);
+    /** @return False if the record known so far stays in effect. */
+    bool apply_record(const operator_record& record);
+    bool apply(const routing_config& config, const operator_record& record);
+    bool apply(const rollout_request& request, const operator_record& record);
     [[nodiscard]] service_name choose_service(const route_config& route);
 
     operator_source_options options_;
@@ -88,6 +92,8 @@
     /** @brief Time of the next check for rollouts of unknown state. */
     std::optional<steady_time> status_check_due_;
     std::optional<routing_config> config_;
+    /** @brief Offset of the record with the active configuration. */
+    log_offset config_offset_;
     route_config_index route_configs_;
     std::map<route_name, share_picker> service_pickers_;
     document_register register_;
--- a/src/goldcrestwell/platform/names.hpp
+++ b/src/goldcrestwell/platform/names.hpp
@@ -20,6 +20,8 @@
 /** @brief Service of the host on which the request originated. */
 inline constexpr std::string_view caller_service = "Goldcrestwell-Caller-Service";
 inline constexpr std::string_view retry_after = "Retry-After";
+/** @brief Number of the store's history, in all of its responses; rises when the store returns from an older copy. */
+inline constexpr std::string_view store_era = "Store-Era";
 
 // Paths of the requests to a node.
 inline constexpr std::string_view ready_path = "/goldcrestwell/ready";
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -36,9 +36,11 @@
                     {.server = to_endpoint(settings.store),
                      .timeout = settings.store_timeout,
                      .memory = options.memory,
-                     .records_skipped =
-                         [this](const std::string_view topic, const std::size_t count) {
-                             report_skipped_records(topic, count);
+                     .records_skipped = [this](const std::string_view topic,
+                                               const std::size_t count) { report_skipped_records(topic, count); },
+                     .response_received =
+                         [this](const std::optional<store_era> reported) {
+                             return process_.core().on_store_response(reported, loop_.now());
                          }}},
       max_connections_{options.admin.max_connections}, memory_{options.memory},
       process_{loop, add_platform_hooks(std::move(options))}, listener_{loop, listener_options(settings)} {}
--- a/src/goldcrestwell/platform/store_client.cpp
+++ b/src/goldcrestwell/platform/store_client.cpp
@@ -1,7 +1,9 @@
 #include "goldcrestwell/platform/store_client.hpp"
 
+#include "goldcrestwell/core/common/store_offset.hpp"
 #include "goldcrestwell/platform/names.hpp"
 #include "goldcrestwell/platform/store_codec.hpp"
+#include "goldcrestwell/shell/http_headers.hpp"
 
 #include <event2/http.h>
 
@@ -61,8 +63,13 @@
     }
     enqueue({.target = std::move(target), .timeout = options_.timeout},
             [this, topic = std::move(topic), collected = std::move(collected), after_key, memory = std::move(memory),
-             done = std::move(done)](const upstream_result& result) mutable {
-                auto page = has_status(result, status_ok) ? decode_newest_page(result.response.body) : std::nullopt;
+             done = std::move(done)](const upstream_result& result, const std::optional<store_era> era) mutable {
+                auto page = era && has_status(result, status_ok) ? decode_newest_page(result.response.body, *era)
+                                                                 : std::nullopt;
+                // Pages of two histories do not make up one state of the topic.
+                if (page && !after_key.empty() && era_of(page->end) != era_of(collected.end)) {
+                    page.reset();
+                }
                 // The pages that were read before stay in memory until the last one has arrived.
                 if (!page || !memory->resize(memory->size() + result.response.body.size(), memory_use::small)) {
                     done({.outcome = read_outcome::failed});
@@ -88,18 +95,20 @@
                               const std::chrono::milliseconds wait, page_hook done) {
     // A position is the number of records before it. The store counts offsets from zero, so this is also the offset of
     // the next record.
-    const auto from = after.value();
+    const auto from = number_of(after);
     auto target = request_target(platform_names::read_path, topic);
     target.append("&from=").append(std::to_string(from)).append("&wait_ms=").append(std::to_string(wait.count()));
     ensure_connection(poll_connection_)
         .send({.target = std::move(target), .timeout = wait + options_.timeout},
               [this, topic = std::string{topic}, done = std::move(done), from](const upstream_result& result) {
-                  if (has_status(result, status_gone)) {
-                      done({.outcome = read_outcome::expired});
+                  const auto era = identify_era(result);
+                  if (era && has_status(result, status_gone)) {
+                      done({.outcome = read_outcome::expired, .end = make_store_offset(*era, 0)});
                       return;
                   }
-                  auto page =
-                      has_status(result, status_ok) ? decode_record_page(result.response.body, from) : std::nullopt;
+                  auto page = era && has_status(result, status_ok)
+                                  ? decode_record_page(result.response.body, from, *era)
+                                  : std::nullopt;
                   if (!page) {
                       done({.outcome = read_outcome::failed});
                       return;
@@ -113,10 +122,13 @@
                           const std::optional<log_offset> expected_end, append_hook done) {
     auto target = request_target(platform_names::append_path, topic);
     if (expected_end) {
-        target.append("&at=").append(std::to_string(expected_end->value()));
+        target.append("&at=").append(std::to_string(number_of(*expected_end)));
     }
     enqueue(append_request(std::move(target), key, payload, options_.timeout),
-            [done = std::move(done)](const upstream_result& result) { done(has_status(result, status_ok)); });
+            [expected_end, done = std::move(done)](const upstream_result& result, const std::optional<store_era> era) {
+                const auto is_expected = era && (!expected_end || era_of(*expected_end) == *era);
+                done(is_expected && has_status(result, status_ok));
+            });
 }
 
 void store_client::append_at_once(const std::string_view topic, const std::string_view key,
@@ -124,7 +136,17 @@
                                   append_hook done) {
     ensure_connection(urgent_connection_)
         .send(append_request(request_target(platform_names::append_path, topic), key, payload, timeout),
-              [done = std::move(done)](const upstream_result& result) { done(has_status(result, status_ok)); });
+              [this, done = std::move(done)](const upstream_result& result) {
+                  done(identify_era(result).has_value() && has_status(result, status_ok));
+              });
+}
+
+std::optional<store_era> store_client::identify_era(const upstream_result& result) const {
+    if (result.outcome != upstream_outcome::answered) {
+        return std::nullopt;
+    }
+    const auto header = find_header(result.response.headers, platform_names::store_era);
+    return options_.response_received(header ? decode_era(*header) : std::nullopt);
 }
 
 void store_client::report_skipped(const std::string_view topic, const std::size_t count) const {
@@ -148,7 +170,7 @@
     ensure_connection(call_connection_)
         .send(next.request, [this, done = std::move(next.done)](const upstream_result& result) {
             call_in_progress_ = false;
-            done(result);
+            done(result, identify_era(result));
             send_next_call();
         });
 }
--- a/src/goldcrestwell/platform/store_client.hpp
+++ b/src/goldcrestwell/platform/store_client.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_PLATFORM_STORE_CLIENT_HPP
 
 #include "goldcrestwell/core/common/memory_reservation.hpp"
+#include "goldcrestwell/core/common/store_era.hpp"
 #include "goldcrestwell/core/config/store_page.hpp"
 #include "goldcrestwell/shell/endpoint.hpp"
 #include "goldcrestwell/shell/event_loop.hpp"
@@ -18,7 +19,7 @@
 
 namespace goldcrestwell {
 
-/** @brief Server address, time limit and hook of a `store_client`. */
+/** @brief Server address, time limit and hooks of a `store_client`. */
 struct store_client_options {
     endpoint server;
     /** @brief Time limit of a request, in addition to the wait time of a long poll. */
@@ -27,6 +28,11 @@
     std::shared_ptr<memory_budget> memory;
     /** @brief Reports that records of a topic could not be decoded, once for each page; must be set. */
     std::function<void(std::string_view topic, std::size_t count)> records_skipped;
+    /**
+     * @brief Called with the era that a response reports, if any, before its result is passed on; must be set.
+     * @return Era of the response, or nothing for one of an earlier history, which then counts as a failure.
+     */
+    std::function<std::optional<store_era>(std::optional<store_era> reported)> response_received;
 };
 
 /** @brief Client of the platform's store. Hooks are called after the requesting function has returned. */
@@ -41,7 +47,11 @@
     void read_newest(std::string_view topic, page_hook done);
     /** @brief Reads the records of a topic after a position with a long poll; only one such read may be in progress. */
     void read_after(std::string_view topic, log_offset after, std::chrono::milliseconds wait, page_hook done);
-    /** @brief Appends a record; with `expected_end`, only if the topic ends at this position. */
+    /**
+     * @brief Appends a record; with `expected_end`, only if the topic ends at this position.
+     *
+     * An append that was confirmed in a later history than the one of `expected_end` is not reported as confirmed.
+     */
     void append(std::string_view topic, std::string_view key, std::string_view payload,
                 std::optional<log_offset> expected_end, append_hook done);
     /** @brief Appends a record without waiting for other calls; only one such append may be in progress. */
@@ -49,7 +59,8 @@
                         std::chrono::milliseconds timeout, append_hook done);
 
 private:
-    using result_hook = std::function<void(const upstream_result& result)>;
+    /** @brief Result of a call; `era` is the one of the response, or empty if there is no valid response. */
+    using result_hook = std::function<void(const upstream_result& result, std::optional<store_era> era)>;
     struct queued_call {
         http_client_request request;
         result_hook done;
@@ -58,6 +69,8 @@
     /** @param memory Memory reserved for the pages collected so far. */
     void read_newest_page(std::string topic, store_page collected, const std::string& after_key,
                           std::shared_ptr<memory_reservation> memory, page_hook done);
+    /** @return Era of a response, or nothing if there is no response or it belongs to an earlier history. */
+    [[nodiscard]] std::optional<store_era> identify_era(const upstream_result& result) const;
     void report_skipped(std::string_view topic, std::size_t count) const;
     void enqueue(http_client_request request, result_hook done);
     void send_next_call();
--- a/src/goldcrestwell/platform/store_codec.cpp
+++ b/src/goldcrestwell/platform/store_codec.cpp
@@ -1,11 +1,13 @@
 #include "goldcrestwell/platform/store_codec.hpp"
 
 #include "goldcrestwell/codec/json_value.hpp"
+#include "goldcrestwell/core/common/store_offset.hpp"
 
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 
 namespace goldcrestwell {
@@ -39,9 +41,15 @@
     return bytes;
 }
 
-// The platform counts offsets from zero; a `log_offset` is the number of records up to and including this one.
-log_offset to_offset(const std::uint64_t number) {
-    return log_offset{number + 1};
+constexpr std::uint64_t max_record_number = std::numeric_limits<std::uint32_t>::max() - 1;
+
+log_offset to_position(const store_era era, const std::uint64_t number) {
+    return make_store_offset(era, static_cast<std::uint32_t>(number));
+}
+
+// The platform counts offsets from zero; a `log_offset` counts the records up to and including this one.
+log_offset to_offset(const store_era era, const std::uint64_t number) {
+    return to_position(era, number + 1);
 }
 
 bool is_base64(const std::string& text) {
@@ -52,14 +60,14 @@
            text.find_first_not_of('=', text.size() - padding) == std::string::npos;
 }
 
-std::optional<operator_record> decode_item(const json& item) {
+std::optional<operator_record> decode_item(const json& item, const store_era era) {
     try {
         auto value = item.at("value").get<std::string>();
-        const auto number = to_integer(item.at("offset"), std::numeric_limits<std::uint64_t>::max() - 1);
+        const auto number = to_integer(item.at("offset"), max_record_number);
         if (!is_base64(value)) {
             return std::nullopt;
         }
-        return operator_record{.offset = to_offset(number),
+        return operator_record{.offset = to_offset(era, number),
                                .key = item.at("key").get<std::string>(),
                                .payload = decode_base64(std::move(value))};
     } catch (const json::exception&) {
@@ -74,14 +82,14 @@
     return key != item.end() && key->is_string() ? key->get<std::string>() : std::string{};
 }
 
-newest_page to_newest_page(const json& document) {
-    newest_page page{.end = log_offset{to_integer<std::uint64_t>(document.at("end"))}};
+newest_page to_newest_page(const json& document, const store_era era) {
+    newest_page page{.end = to_position(era, to_integer<std::uint32_t>(document.at("end")))};
     const auto has_more = document.value("more", false);
     for (const auto& item : document.at("items")) {
         if (auto key = key_of(item); has_more && !key.empty()) {
             page.next_after = std::move(key);
         }
-        if (auto record = decode_item(item)) {
+        if (auto record = decode_item(item, era)) {
             page.records.push_back(std::move(*record));
         } else {
             ++page.skipped;
@@ -92,13 +100,13 @@
 
 } // namespace
 
-std::optional<newest_page> decode_newest_page(const std::string_view body) {
+std::optional<newest_page> decode_newest_page(const std::string_view body, const store_era era) {
     const auto document = parse_json(body);
     if (!document) {
         return std::nullopt;
     }
     try {
-        return to_newest_page(*document);
+        return to_newest_page(*document, era);
     } catch (const json::exception&) {
         return std::nullopt;
     } catch (const json_value_error&) {
@@ -106,7 +114,14 @@
     }
 }
 
-std::optional<record_page> decode_record_page(std::string_view body, const std::uint64_t from) {
+std::optional<store_era> decode_era(const std::string_view text) noexcept {
+    store_era::value_type value{};
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional{store_era{value}} : std::nullopt;
+}
+
+std::optional<record_page> decode_record_page(std::string_view body, const std::uint64_t from, const store_era era) {
     if (body.size() < 2 * offset_bytes) {
         return std::nullopt;
     }
@@ -119,12 +134,12 @@
         }
         const std::size_t length = read_big_endian<std::uint32_t>(body);
         body.remove_prefix(length_bytes);
-        if (body.size() < length) {
+        if (body.size() < length || next_number > max_record_number) {
             return std::nullopt;
         }
         const auto record = body.substr(0, length);
         body.remove_prefix(length);
-        const auto offset = to_offset(next_number++);
+        const auto offset = to_offset(era, next_number++);
         const std::size_t key_length = record.empty() ? 0 : static_cast<unsigned char>(record.front());
         if (length < 1 + key_length) {
             ++page.skipped;
@@ -135,7 +150,7 @@
                                 .payload = std::string{record.substr(1 + key_length)}});
     }
     // A page may end before the topic does, so the next read continues after the last record of the page.
-    page.end = log_offset{next_number};
+    page.end = to_position(era, next_number);
     return page;
 }
 
--- a/test/core/config/document_register.cpp
+++ b/test/core/config/document_register.cpp
@@ -27,6 +27,7 @@
          .record_changed =
              [this](const operator_record& changed) {
                  applied.push_back(changed.key + changed.payload);
+                 return true;
              }}};
 };
 
@@ -94,6 +95,7 @@
                                  .record_changed =
                                      [&applied](const operator_record& changed) {
                                          applied.push_back(changed.payload);
+                                         return true;
                                      }}};
     documents.on_records(std::vector{record(4, "a")}, log_offset{4});
     documents.on_pull(peer, {});
@@ -110,6 +112,7 @@
                                  .record_unreadable = [&unreadable](const operator_record&) { ++unreadable; },
                                  .record_changed =
                                      [](const operator_record&) {
+                                         return true;
                                      }}};
     documents.on_batch({.through = log_offset{9}, .records = {record(9, "a")}});
     BOOST_TEST(unreadable == 1);
--- a/test/core/node/split_routes.cpp
+++ b/test/core/node/split_routes.cpp
@@ -47,9 +47,9 @@
          .config_changed = [](const routing_config&) {},
          .rollout_request_received = [](const rollout_request&) {},
          .store_changed = [](bool) {},
+         .record_unreadable = [this](const operator_record&) { ++skipped; },
          .record_skipped =
-             [this](const operator_record&) {
-                 ++skipped;
+             [](const record_skipped&) {
              }}};
 
     void apply(const std::uint64_t version, const std::vector<weighted_service>& services) {
--- a/test/platform/decoders.cpp
+++ b/test/platform/decoders.cpp
@@ -323,4 +323,33 @@
     }
 }
 
+// Guards against a header that is believed although it is no era, and against offsets of two histories that are equal.
+BOOST_AUTO_TEST_CASE(era_of_the_store_is_part_of_each_offset) {
+    for (const auto* text : {"", "x", "-1", "+1", " 1", "1 ", "1.5", "0x1", "4294967296", "99999999999999999999"}) {
+        BOOST_TEST(!decode_era(text).has_value(), "'" << text << "'");
+    }
+    BOOST_TEST((decode_era("4294967295") == store_era{4'294'967'295U}));
+    const json document{{"items", {item("config", 7)}}, {"end", 8}};
+    const auto before = decode_newest_page(document.dump(), store_era{1});
+    const auto after = decode_newest_page(document.dump(), store_era{2});
+    BOOST_REQUIRE((before.has_value() && after.has_value()));
+    BOOST_TEST((before->records.front().offset < after->records.front().offset));
+    BOOST_TEST((before->records.front().offset == before->end));
+    const auto page = decode_record_page(std::string(16, '\0') + record("\1ab"), 7, store_era{2});
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST((page->records.front().offset == after->records.front().offset));
+}
+
+// Guards against a number of a record that overflows into the era of its offset.
+BOOST_AUTO_TEST_CASE(record_number_beyond_its_part_of_an_offset_is_not_decoded) {
+    const json document{{"items", {item("config", 4'294'967'295U)}}, {"end", 8}};
+    const auto page = decode_newest_page(document.dump(), store_era{1});
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->records.empty());
+    BOOST_TEST(page->skipped == 1U);
+    const json long_topic{{"items", json::array()}, {"end", 4'294'967'296U}};
+    BOOST_TEST(!decode_newest_page(long_topic.dump(), store_era{1}).has_value());
+    BOOST_TEST(!decode_record_page(std::string(16, '\0') + record("\1ab"), 4'294'967'295U, store_era{1}).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
