Continue rollouts after the store's history was replaced

A store that returns from an older copy gives offsets out again. A request that the operator wrote again, or that was read from the copy, counted as a new one: a finished rollout ran again from its first stage, a rolled back version was revived, and an earlier request in the copy replaced the newest. Ends that the store had lost were not recorded again.

- on_request returns false for a request without effect.
In a later history, a request for the version of the known rollout continues it under the later offset; the copy of a request that was superseded has no effect.
The operator may write a request again that the copy holds too (within 10 s).
- on_history_replaced makes recorded phases unknown, so the coordinators read and record them again, by rank.

The node does not call on_history_replaced yet.

--- a/src/goldcrestwell/core/rollout/service_rollouts.cpp
+++ b/src/goldcrestwell/core/rollout/service_rollouts.cpp
@@ -1,6 +1,7 @@
 #include "goldcrestwell/core/rollout/service_rollouts.hpp"
 
 #include "goldcrestwell/core/common/rendezvous.hpp"
+#include "goldcrestwell/core/common/store_offset.hpp"
 #include "goldcrestwell/core/message/join.hpp"
 
 #include <algorithm>
@@ -33,6 +34,8 @@
 constexpr std::uint32_t no_failure_limit = 1'000'000;
 // A response of the store may get lost, so the status is recorded again at this interval.
 constexpr milliseconds record_retry_interval{1'500};
+// Time within which the operator writes a request again that the store lost.
+constexpr std::chrono::seconds rewrite_period{10};
 
 bool is_finished(const rollout_state& state) noexcept {
     return state.done || state.rolled_back;
@@ -56,26 +59,77 @@
             .row_version = rollout.offset};
 }
 
-void service_rollouts::on_request(const rollout_request& request, const log_offset offset, const time_sample now) {
+bool service_rollouts::is_known_state(const service_rollout& rollout, const rollout_key& key) const {
+    const auto& version = rollout.request.target;
+    return key == key_of(rollout) ||
+           (key.row.version == version &&
+            history_.is_same_request(rollout.request.service, version, key.row_version, rollout.offset));
+}
+
+bool service_rollouts::is_repeated(const service_rollout& rollout, const rollout_request& request,
+                                   const log_offset offset, const steady_time now) const {
+    if (rollout.request.target != request.target) {
+        return false;
+    }
+    // The operator may write a request again that the copy holds too.
+    return era_of(rollout.offset) < era_of(offset) ||
+           (rollout.carried_over_at && now < *rollout.carried_over_at + rewrite_period);
+}
+
+bool service_rollouts::on_request(const rollout_request& request, const log_offset offset, const time_sample now) {
     const auto found = rollouts_.find(request.service);
-    if (found != rollouts_.end() && found->second.offset >= offset) {
-        return;
+    const auto is_known = found != rollouts_.end();
+    if (is_known && found->second.offset >= offset) {
+        return false;
+    }
+    const auto is_later_history = !is_known || era_of(found->second.offset) < era_of(offset);
+    if (is_later_history && history_.is_superseded(request.service, request.target, offset)) {
+        return false;
+    }
+    if (is_known && is_repeated(found->second, request, offset, now.steady)) {
+        change_offset(found->second, offset, now);
+    } else {
+        add_rollout(request, offset, now);
     }
+    schedule_tick(now);
+    return true;
+}
+
+void service_rollouts::change_offset(service_rollout& rollout, const log_offset offset, const time_sample now) {
+    if (era_of(rollout.offset) < era_of(offset)) {
+        rollout.carried_over_at = now.steady;
+    }
+    rollout.offset = offset;
+    history_.add_offset(rollout.request.service, rollout.request.target, offset);
+    history_.on_finished({.key = key_of(rollout), .state = rollout.state});
+    merge_early_states(rollout, now);
+    // Nodes that know the later offset may not have seen what was decided under the earlier one.
+    if (rollout.state != rollout_state{}) {
+        options_.broadcast({.key = key_of(rollout), .state = rollout.state});
+    }
+}
+
+void service_rollouts::add_rollout(const rollout_request& request, const log_offset offset, const time_sample now) {
     service_rollout added{.request = request, .offset = offset, .received_at = now, .stage_since = now.steady};
     added.tally = rollout_tally{options_.tally_limits};
     history_.on_requested(request.service, request.target, offset);
     auto& rollout = rollouts_.insert_or_assign(request.service, std::move(added)).first->second;
-    if (const auto early_state = early_states_.extract(key_of(rollout)); !early_state.empty()) {
-        merge(rollout, early_state.mapped(), now);
-    }
-    std::erase_if(early_states_, [this, &request, offset](const auto& item) {
-        const auto earlier = item.first.row.route.value == request.service.value && item.first.row_version <= offset;
-        if (earlier) {
-            history_.on_finished({.key = item.first, .state = item.second});
+    merge_early_states(rollout, now);
+}
+
+void service_rollouts::merge_early_states(service_rollout& rollout, const time_sample now) {
+    std::erase_if(early_states_, [this, &rollout, now](const auto& item) {
+        const auto& [key, state] = item;
+        if (key.row.route.value != rollout.request.service.value || key.row_version > rollout.offset) {
+            return false;
+        }
+        if (is_known_state(rollout, key)) {
+            merge(rollout, state, now);
+        } else {
+            history_.on_finished({.key = key, .state = state});
         }
-        return earlier;
+        return true;
     });
-    schedule_tick(now);
 }
 
 void service_rollouts::on_recorded(const rollout_status& status, const time_sample now) {
@@ -91,15 +145,24 @@
     merge_and_broadcast(rollout, state, now);
 }
 
+void service_rollouts::on_history_replaced(const time_sample now) {
+    for (auto& [service, rollout] : rollouts_) {
+        rollout.recorded_phase.reset();
+        rollout.next_record_at.reset();
+    }
+    schedule_tick(now);
+}
+
 void service_rollouts::on_update(const rollout_update& update, const time_sample now) {
     const service_name service{update.key.row.route.value};
+    history_.add_offset(service, update.key.row.version, update.key.row_version);
     const auto found = rollouts_.find(service);
     if (found == rollouts_.end() || found->second.offset < update.key.row_version) {
         auto& state = early_states_[update.key];
         state = join(state, update.state);
         return;
     }
-    if (key_of(found->second) == update.key) {
+    if (is_known_state(found->second, update.key)) {
         merge_and_broadcast(found->second, update.state, now);
     } else {
         history_.on_finished(update);
@@ -155,9 +218,6 @@
 }
 
 share service_rollouts::progress(const service_rollout& rollout, const steady_time now) const {
-    if (rollout.state.done) {
-        return full_share;
-    }
     return rollout.state.stage == canary_stage
                ? canary_schedule_.share_at(now - rollout.received_at.steady, count_upstreams(rollout))
                : stage_plans[std::min(rollout.state.stage, full_stage)].progress;
@@ -166,7 +226,7 @@
 std::vector<version_share> service_rollouts::shares(const service_name& service, const steady_time now) const {
     const auto current = history_.current_version(service);
     const auto found = rollouts_.find(service);
-    const auto moving = found != rollouts_.end() && !found->second.state.rolled_back;
+    const auto moving = found != rollouts_.end() && !is_finished(found->second.state);
     if (!moving || current == found->second.request.target) {
         return current ? std::vector<version_share>{{*current, full_share}} : std::vector<version_share>{};
     }
--- a/src/goldcrestwell/core/rollout/service_rollouts.hpp
+++ b/src/goldcrestwell/core/rollout/service_rollouts.hpp
@@ -24,6 +24,9 @@
  * The state of a rollout only grows, and states merge in any order. The first nodes by rendezvous rank for a service
  * are its coordinators and receive the evidence. Each of them may roll a version back; the first live one raises the
  * stages.
+ *
+ * After the store has returned from an older copy, a request that is read again by an offset of the later history
+ * continues its rollout. Nodes learn of the offset at different times, so states by earlier offsets are merged.
  */
 class service_rollouts {
 public:
@@ -31,10 +34,15 @@
 
     explicit service_rollouts(service_rollout_options options);
 
-    /** @param offset Offset of the request in the store; a later request for a service replaces an earlier one. */
-    void on_request(const rollout_request& request, log_offset offset, time_sample now);
+    /**
+     * @param offset Offset of the request in the store; a later request for a service replaces an earlier one.
+     * @return False if the request is known and has no effect.
+     */
+    bool on_request(const rollout_request& request, log_offset offset, time_sample now);
     /** @brief Applies a recorded status that was read from the store. */
     void on_recorded(const rollout_status& status, time_sample now);
+    /** @brief Records all statuses again, because the store has returned from an older copy. */
+    void on_history_replaced(time_sample now);
     void on_update(const rollout_update& update, time_sample now);
     void on_evidence(const evidence_report& report, time_sample now);
     /** @brief Counts a call to the local upstream. */
@@ -68,11 +76,20 @@
         steady_time stage_since{};
         rollout_state state;
         rollout_tally tally{rollout_tally_limits{}};
+        /** @brief Time at which the request was first read in a later history than before. */
+        std::optional<steady_time> carried_over_at;
         std::optional<rollout_phase> recorded_phase;
         std::optional<steady_time> next_record_at;
     };
 
     [[nodiscard]] static rollout_key key_of(const service_rollout& rollout);
+    [[nodiscard]] bool is_known_state(const service_rollout& rollout, const rollout_key& key) const;
+    /** @brief Checks whether a request is the one of a rollout, written again or read from a copy. */
+    [[nodiscard]] bool is_repeated(const service_rollout& rollout, const rollout_request& request, log_offset offset,
+                                   steady_time now) const;
+    void change_offset(service_rollout& rollout, log_offset offset, time_sample now);
+    void add_rollout(const rollout_request& request, log_offset offset, time_sample now);
+    void merge_early_states(service_rollout& rollout, time_sample now);
     [[nodiscard]] std::optional<size_type> own_rank(const service_name& service) const;
     [[nodiscard]] std::vector<node_id> coordinators(const service_name& service) const;
     void send_reports(time_sample now);
