Log the source and the delay of a configuration

config_applied did not tell a record read from the store from one of a peer, nor whether it was late. It now has `source` (store, or the node that sent the record) and `delay_ms`, the time for which the node knew that it was behind a peer; both come from record_origin, which node tells of each arrival. store_reachable has the length of the outage since store_lost, and records_requested at level debug names the node that was asked for records.

clang-format lays out make_operator_links anew; without whitespace, three links change there.

--- a/src/goldcrestwell/core/node/node.cpp
+++ b/src/goldcrestwell/core/node/node.cpp
@@ -282,6 +282,7 @@
 }
 
 void node::advertise_position() {
+    record_origin_.on_position(position());
     if (position() > advertised_position_) {
         advertised_position_ = position();
         membership_.set_position(advertised_position_, now_);
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -21,6 +21,7 @@
 #include "goldcrestwell/core/node/edit_tracker.hpp"
 #include "goldcrestwell/core/node/node_options.hpp"
 #include "goldcrestwell/core/node/operator_source.hpp"
+#include "goldcrestwell/core/node/record_origin.hpp"
 #include "goldcrestwell/core/rollout/rollout_engine.hpp"
 #include "goldcrestwell/core/routing/route_table.hpp"
 
@@ -209,6 +210,9 @@
                                                                     const upstream_version& version);
     [[nodiscard]] bool is_row_failing(const row_key& row);
     [[nodiscard]] bool reads_store_immediately() const;
+    void request_records(node_id from, const document_pull& pull);
+    void on_config(const routing_config& config);
+    void on_store_changed(bool reachable);
     void add_upstream_version(const member& record);
     void receive_rollout(const rollout_update& update);
     void receive_position(node_id from, log_offset position);
@@ -259,6 +263,8 @@
     std::optional<steady_time> last_call_;
     /** @brief Time of the last message from another node. */
     steady_time last_message_received_{};
+    record_origin record_origin_;
+    std::optional<steady_time> store_lost_at_;
     log_offset advertised_position_;
     bool ready_reported_{};
     bool leaving_{};
--- a/src/goldcrestwell/core/node/node_event.hpp
+++ b/src/goldcrestwell/core/node/node_event.hpp
@@ -2,6 +2,7 @@
 #define GOLDCRESTWELL_CORE_NODE_NODE_EVENT_HPP
 
 #include "goldcrestwell/core/common/log_offset.hpp"
+#include "goldcrestwell/core/common/node_id.hpp"
 #include "goldcrestwell/core/common/skip_reason.hpp"
 #include "goldcrestwell/core/common/store_era.hpp"
 #include "goldcrestwell/core/message/attempt_event.hpp"
@@ -12,8 +13,10 @@
 #include "goldcrestwell/core/message/rollout_update.hpp"
 #include "goldcrestwell/core/message/upstream_departure.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -36,6 +39,17 @@
     std::size_t routes{};
     /** @brief Position in the operators' topic that this node has read. */
     log_offset position;
+    /** @brief Peer that sent the record; empty if it was read from the store. */
+    std::optional<node_id> peer;
+    /** @brief Time for which this node knew that it was behind a peer; empty if it knew of none. */
+    std::optional<std::chrono::milliseconds> delay;
+};
+
+/** @brief Records of the operators were requested from a peer. */
+struct records_requested {
+    node_id peer;
+    /** @brief Position after which records are requested. */
+    log_offset after;
 };
 
 /** @brief Operators requested a rollout. */
@@ -46,6 +60,8 @@
 /** @brief The platform's store became unreachable or reachable. */
 struct store_changed {
     bool reachable{};
+    /** @brief Time for which the store was unreachable; empty if it is lost or is reached for the first time. */
+    std::optional<std::chrono::milliseconds> outage;
 };
 
 /** @brief A record of the operators could not be decoded and was skipped. */
@@ -86,9 +102,10 @@
 };
 
 /** @brief Event for the log. */
-using node_event = std::variant<table_changed, became_ready, edit_verdict, member, rollout_update, call_event,
-                                attempt_event, config_applied, rollout_requested, store_changed, record_unreadable,
-                                departure_answered, record_skipped, store_history_replaced, stale_store_response>;
+using node_event =
+    std::variant<table_changed, became_ready, edit_verdict, member, rollout_update, call_event, attempt_event,
+                 config_applied, rollout_requested, store_changed, record_unreadable, departure_answered,
+                 record_skipped, store_history_replaced, stale_store_response, records_requested>;
 
 } // namespace goldcrestwell
 
--- a/src/goldcrestwell/core/node/node_events.cpp
+++ b/src/goldcrestwell/core/node/node_events.cpp
@@ -89,8 +89,9 @@
     }
 }
 
-void node::handle(const node_id /*from*/, const document_batch& message) {
+void node::handle(const node_id from, const document_batch& message) {
     if (operators_) {
+        record_origin_.on_records(from);
         operators_->on_batch(message, now_);
     }
 }
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -23,63 +23,54 @@
 } // namespace
 
 operator_source_links node::make_operator_links() {
-    return {
-        .seed = options_.seed,
-        .rollouts = {.self = options_.self,
-                     .nodes = [this] { return membership_.alive(); },
-                     .count_upstreams =
-                         [this](const service_name& service, const upstream_version& version) {
-                             return membership_.upstreams(service, version).size();
-                         },
-                     .service_of =
-                         [this](const node_id id) {
-                             const auto* record = membership_.find(id);
-                             return record != nullptr && record->upstream ? record->upstream->service : service_name{};
-                         },
-                     .broadcast =
-                         [this](const rollout_update& update) {
-                             options_.hooks.event(update);
-                             queue([this, update] { membership_.broadcast(update, true, now_); });
-                         },
-                     .send_evidence =
-                         [this](const node_id to, const evidence_report& report) {
-                             send_evidence(to, report);
-                         }},
-        .send_pull = [this](const node_id to,
-                            const document_pull& pull) { send_control_frame(to, pull, control_priority::position); },
-        .send_batch =
-            [this](const node_id to, const document_batch& batch) {
-                send_control_frame(to, batch, control_priority::position);
-            },
-        .is_nearby =
-            [this](const node_id id) {
-                const auto* record = membership_.find(id);
-                return record != nullptr && record->data_centre == options_.data_centre;
-            },
-        .reads_store_immediately = [this] { return reads_store_immediately(); },
-        .has_recent_contact = [this] { return now_.steady - last_message_received_ < max_silence; },
-        .config_changed =
-            [this](const routing_config& config) {
-                options_.hooks.event(config_applied{
-                    .version = config.version, .routes = config.routes.size(), .position = operators_->position()});
-                options_.hooks.config_changed(config);
-            },
-        .rollout_request_received =
-            [this](const rollout_request& request) {
-                options_.hooks.event(rollout_requested{.request = request});
-                for (const auto& [id, record] : membership_.members()) {
-                    add_upstream_version(record);
-                }
-            },
-        .store_changed =
-            [this](const bool reachable) {
-                options_.hooks.event(goldcrestwell::store_changed{.reachable = reachable});
-            },
-        .record_skipped =
-            [this](const operator_record& record) {
-                counts_.drops.add(drop_reason::record_unreadable);
-                options_.hooks.event(record_unreadable{.key = record.key, .offset = record.offset});
-            }};
+    return {.seed = options_.seed,
+            .rollouts = {.self = options_.self,
+                         .nodes = [this] { return membership_.alive(); },
+                         .count_upstreams =
+                             [this](const service_name& service, const upstream_version& version) {
+                                 return membership_.upstreams(service, version).size();
+                             },
+                         .service_of =
+                             [this](const node_id id) {
+                                 const auto* record = membership_.find(id);
+                                 return record != nullptr && record->upstream ? record->upstream->service
+                                                                              : service_name{};
+                             },
+                         .broadcast =
+                             [this](const rollout_update& update) {
+                                 options_.hooks.event(update);
+                                 queue([this, update] { membership_.broadcast(update, true, now_); });
+                             },
+                         .send_evidence =
+                             [this](const node_id to, const evidence_report& report) {
+                                 send_evidence(to, report);
+                             }},
+            .send_pull = [this](const node_id to, const document_pull& pull) { request_records(to, pull); },
+            .send_batch =
+                [this](const node_id to, const document_batch& batch) {
+                    send_control_frame(to, batch, control_priority::position);
+                },
+            .is_nearby =
+                [this](const node_id id) {
+                    const auto* record = membership_.find(id);
+                    return record != nullptr && record->data_centre == options_.data_centre;
+                },
+            .reads_store_immediately = [this] { return reads_store_immediately(); },
+            .has_recent_contact = [this] { return now_.steady - last_message_received_ < max_silence; },
+            .config_changed = [this](const routing_config& config) { on_config(config); },
+            .rollout_request_received =
+                [this](const rollout_request& request) {
+                    options_.hooks.event(rollout_requested{.request = request});
+                    for (const auto& [id, record] : membership_.members()) {
+                        add_upstream_version(record);
+                    }
+                },
+            .store_changed = [this](const bool reachable) { on_store_changed(reachable); },
+            .record_skipped =
+                [this](const operator_record& record) {
+                    counts_.drops.add(drop_reason::record_unreadable);
+                    options_.hooks.event(record_unreadable{.key = record.key, .offset = record.offset});
+                }};
 }
 
 node_directory_options node::make_directory_options() {
@@ -142,6 +133,7 @@
 
 void node::on_store_page(const store_page& page, const time_sample now) {
     now_ = now;
+    record_origin_.on_records(std::nullopt);
     operators_->on_page(page, now);
     run_tasks();
 }
@@ -277,12 +269,36 @@
 
 void node::receive_position(const node_id from, const log_offset position) {
     if (operators_) {
+        record_origin_.on_peer_position(position, operators_->position(), now_.steady);
         operators_->on_peer_position(from, position, now_);
     } else {
         follower_.on_peer_position(from, position, now_);
     }
 }
 
+void node::request_records(const node_id from, const document_pull& pull) {
+    options_.hooks.event(records_requested{.peer = from, .after = pull.after});
+    send_control_frame(from, pull, control_priority::position);
+}
+
+void node::on_config(const routing_config& config) {
+    options_.hooks.event(config_applied{.version = config.version,
+                                        .routes = config.routes.size(),
+                                        .position = operators_->position(),
+                                        .peer = record_origin_.peer(),
+                                        .delay = record_origin_.delay(now_.steady)});
+    options_.hooks.config_changed(config);
+}
+
+void node::on_store_changed(const bool reachable) {
+    store_changed event{.reachable = reachable};
+    const auto lost_at = std::exchange(store_lost_at_, reachable ? std::nullopt : std::optional{now_.steady});
+    if (reachable && lost_at) {
+        event.outage = std::chrono::floor<std::chrono::milliseconds>(now_.steady - *lost_at);
+    }
+    options_.hooks.event(event);
+}
+
 void node::observe(const call_observation& observation) {
     if (!operators_) {
         rollout_.record(observation, now_);
--- a/src/goldcrestwell/shell/node_process.cpp
+++ b/src/goldcrestwell/shell/node_process.cpp
@@ -295,6 +295,10 @@
 void node_process::report(const config_applied& event) {
     std::vector<log_field> fields{{"version", event.version}, {"routes", event.routes}};
     append_position(fields, "position", event.position);
+    fields.emplace_back("source", event.peer ? to_string(*event.peer) : "store");
+    if (event.delay) {
+        fields.emplace_back("delay_ms", event.delay->count());
+    }
     write_log(log_level::info, "config_applied", fields);
 }
 
@@ -306,8 +310,21 @@
 }
 
 void node_process::report(const store_changed& event) {
+    std::vector<log_field> fields;
+    if (event.outage) {
+        fields.emplace_back("outage_ms", event.outage->count());
+    }
     write_log(event.reachable ? log_level::info : log_level::warning,
-              event.reachable ? "store_reachable" : "store_lost");
+              event.reachable ? "store_reachable" : "store_lost", fields);
+}
+
+void node_process::report(const records_requested& event) {
+    if (!log_enabled(log_level::debug)) {
+        return;
+    }
+    std::vector<log_field> fields{{"node", to_string(event.peer)}};
+    append_position(fields, "after", event.after);
+    write_log(log_level::debug, "records_requested", fields);
 }
 
 void node_process::report(const departure_answered& event) {
--- a/src/goldcrestwell/shell/node_process.hpp
+++ b/src/goldcrestwell/shell/node_process.hpp
@@ -85,6 +85,7 @@
     void report(const config_applied& event);
     void report(const rollout_requested& event);
     void report(const store_changed& event);
+    void report(const records_requested& event);
     void report(const departure_answered& event);
     void report(const record_unreadable& event);
     void report(const record_skipped& event);
--- a/test/platform/log_lines.cpp
+++ b/test/platform/log_lines.cpp
@@ -86,6 +86,23 @@
     BOOST_TEST(contains(line_with("event=ready "), " position=1 era="));
     BOOST_TEST(contains(cluster.status(first_host), "\"config_position\": 1,"));
     BOOST_TEST(contains(cluster.status(first_host), "\"config_era\": "));
+    const auto metrics = cluster.metrics(first_host);
+    BOOST_TEST(contains(metrics, "\ngoldcrestwell_config_position 1\n"));
+    BOOST_TEST(contains(metrics, "\ngoldcrestwell_config_era "));
+    BOOST_TEST(contains(metrics, "\ngoldcrestwell_records_skipped_total{reason=\"older_version\"} 0\n"));
+    BOOST_TEST(contains(metrics, "\ngoldcrestwell_call_lines_omitted_total 0\n"));
+}
+
+// Guards against a configuration of which nobody can tell how it reached a node.
+BOOST_FIXTURE_TEST_CASE(source_of_a_configuration_is_logged, fixture) {
+    BOOST_TEST(contains(line_with("event=config_applied"), " source="));
+    cluster.store.set_down(true);
+    BOOST_TEST(cluster.wait_for([this] { return !line_with("event=store_lost").empty(); }));
+    cluster.store.set_down(false);
+    BOOST_TEST(cluster.wait_for([this] { return contains(line_with("event=store_reachable"), " outage_ms="); }));
+    cluster.write_config(9, "orders", "/new/");
+    BOOST_TEST(wait_for_version("9"));
+    BOOST_TEST(contains(line_with("event=config_applied version=9 "), " source="));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/sidecar_cluster.cpp
+++ b/test/platform/sidecar_cluster.cpp
@@ -98,6 +98,10 @@
     return send(to_endpoint(target_host.settings.admin_listener), {.target = "/status"}).response.body.str();
 }
 
+std::string sidecar_cluster::metrics(const host& target_host) {
+    return send(to_endpoint(target_host.settings.admin_listener), {.target = "/metrics"}).response.body.str();
+}
+
 upstream_result sidecar_cluster::call(const host& target_host, const std::string& method, const std::string& target,
                                       const std::string& id, const std::chrono::milliseconds deadline) {
     return send(to_endpoint(target_host.settings.caller_listener),
--- a/test/platform/sidecar_cluster.hpp
+++ b/test/platform/sidecar_cluster.hpp
@@ -52,6 +52,8 @@
     std::uint32_t ready(const host& target_host);
     /** @return Body of `GET /status` on the admin address. */
     std::string status(const host& target_host);
+    /** @return Body of `GET /metrics` on the admin address. */
+    std::string metrics(const host& target_host);
     /** @brief Sends a request to the caller listener of a host. */
     upstream_result call(const host& target_host, const std::string& method, const std::string& target,
                          const std::string& id = "id-1", std::chrono::milliseconds deadline = std::chrono::seconds{2});
