Record again what the store lost when it returned from an older copy

What the system had written since the copy was gone for good: the entry of a node, acknowledged departures, states of rollouts; a request for a rollout that was read again by another offset started again.

The node now tells its directory, its recorders and its rollouts when the store reports a later history, and the directory also when a peer has read a later one.

--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -1,6 +1,7 @@
 // Functions of a node whose configuration comes from operators' documents in the platform's store.
 
 #include "goldcrestwell/core/common/rendezvous.hpp"
+#include "goldcrestwell/core/common/store_offset.hpp"
 #include "goldcrestwell/core/message/upstream_announcement.hpp"
 #include "goldcrestwell/core/node/node.hpp"
 
@@ -73,7 +74,6 @@
                 },
             .record_skipped =
                 [this](const record_skipped& skipped) {
-                    counts_.drops.add(drop_reason::record_old);
                     options_.hooks.event(skipped);
                 }};
 }
@@ -131,6 +131,9 @@
 
 void node::on_history_replaced(const store_era previous, const store_era current) {
     options_.hooks.event(store_history_replaced{.previous = previous, .current = current});
+    operators_->on_history_replaced(now_);
+    directory_->on_history_replaced(now_.steady);
+    departures_->on_history_replaced();
 }
 
 std::optional<store_era> node::on_store_response(const std::optional<store_era> era, const time_sample now) {
@@ -296,6 +299,10 @@
     if (operators_) {
         record_origin_.on_peer_position(position, operators_->position(), now_.steady);
         operators_->on_peer_position(from, position, now_);
+        // A node on standby may not call the store for long, but what it has recorded there may be lost.
+        if (history_.era() && era_of(position) > history_.era()) {
+            directory_->on_history_replaced(now_.steady);
+        }
     } else {
         follower_.on_peer_position(from, position, now_);
     }
--- a/src/goldcrestwell/core/node/operator_source.cpp
+++ b/src/goldcrestwell/core/node/operator_source.cpp
@@ -108,6 +108,12 @@
     recorder_.on_written(confirmed);
 }
 
+void operator_source::on_history_replaced(const time_sample now) {
+    now_ = now;
+    recorder_.on_history_replaced();
+    rollouts_.on_history_replaced(now);
+}
+
 void operator_source::on_timer(const time_sample now) {
     now_ = now;
     register_.on_timer(now.steady);
@@ -174,7 +180,10 @@
 }
 
 bool operator_source::apply(const rollout_request& request, const operator_record& record) {
-    rollouts_.on_request(request, record.offset, now_);
+    if (!rollouts_.on_request(request, record.offset, now_)) {
+        links_.record_skipped({.key = record.key, .offset = record.offset, .reason = skip_reason::known_request});
+        return false;
+    }
     links_.rollout_request_received(request);
     if (rollouts_.is_coordinator(request.service)) {
         check_statuses();
--- a/src/goldcrestwell/core/node/operator_source.hpp
+++ b/src/goldcrestwell/core/node/operator_source.hpp
@@ -61,6 +61,8 @@
     void on_peer_position(node_id from, log_offset position, time_sample now);
     void on_pull(node_id from, const document_pull& pull) { register_.on_pull(from, pull); }
     void on_batch(const document_batch& batch, time_sample now);
+    /** @brief Handles that the store returned from an older copy and may have lost what it confirmed. */
+    void on_history_replaced(time_sample now);
     void on_timer(time_sample now);
     [[nodiscard]] std::optional<steady_time> next_timer() const;
 
