Send a pull to another peer if the first one does not reply

A node that the store refuses pulled from the first remote peer that was ahead and asked it again every 0.4 s, also if that peer had ended or was suspended: another peer with the same position replaced it only if it was in the same data centre. In a data centre whose nodes all waited for the same peer, none applied the change before the next one.

Once a pull has been sent, the next one goes to the peer that was last heard to be ahead. No pull is sent earlier than before.

--- a/src/goldcrestwell/core/config/document_register.cpp
+++ b/src/goldcrestwell/core/config/document_register.cpp
@@ -45,6 +45,10 @@
         pull_->from = from;
         pull_->position = position;
         pull_->due = std::min(pull_->due, due);
+    } else if (pull_->sent) {
+        // The peer may have ended before it replied, so the next pull is sent to another one that is ahead.
+        pull_->from = from;
+        pull_->position = position;
     }
 }
 
@@ -86,6 +90,7 @@
 void document_register::on_timer(const steady_time now) {
     if (pull_ && now >= pull_->due) {
         pull_->due = now + options_.pull_retry_delay;
+        pull_->sent = true;
         options_.send_pull(pull_->from, {.after = position_});
     }
 }
--- a/src/goldcrestwell/core/config/document_register.hpp
+++ b/src/goldcrestwell/core/config/document_register.hpp
@@ -86,6 +86,8 @@
         node_id from;
         log_offset position;
         steady_time due;
+        /** @brief True while the reply of the peer is outstanding. */
+        bool sent{};
     };
 
     [[nodiscard]] const std::string& packed_payload(const operator_record& record);
