--- a/src/goldcrestwell/core/config/document_register.hpp
+++ b/src/goldcrestwell/core/config/document_register.hpp
@@ -99,6 +99,8 @@
         steady_time due;
         /** @brief All records are requested, not only those after the own position. */
         bool is_full{};
+        /** @brief True while the reply of the peer is outstanding. */
+        bool sent{};
     };
 
     /** @return True if peers may hold records that the store has lost and this node has never had. */
