Notice a lost response of the store within three seconds

If the responses to the long polls of all readers are lost at once, a change that was written meanwhile is applied up to 4.2 s later.

Cause: a lost response is noticed after the wait of the long poll and the time limit of a call, 2.5 s and 1.5 s. The bound was taken for 5 s, as if the times for recovery and for a change added up.

Why this works: 2.7 s for the poll leave time for the repeated read, which does not wait, and for the pulls of nodes on standby. Cost: a reader in calm calls the store every 1.2 s in place of 2.5 s.

--- a/src/goldcrestwell/core/config/store_follower.hpp
+++ b/src/goldcrestwell/core/config/store_follower.hpp
@@ -16,9 +16,10 @@
  * @brief Default time for which a read waits for new records.
  *
  * A response that was lost is noticed only after this time and the timeout of a call. Together they have to be shorter
- * than the time in which a change must be applied after an outage of the store, which is 5 s.
+ * than the 3 s after a fault of the store in which the nodes must be up to date again, with time left for the next read
+ * and for nodes on standby.
  */
-inline constexpr std::chrono::milliseconds default_store_long_poll{2'500};
+inline constexpr std::chrono::milliseconds default_store_long_poll{1'200};
 
 /** @brief Delays and hooks of a `store_follower`; hooks must be set unless stated otherwise. */
 struct store_follower_options {
--- a/test/core/config/store_fleet.cpp
+++ b/test/core/config/store_fleet.cpp
@@ -61,6 +61,7 @@
             },
         .record_changed =
             [](const operator_record&) {
+                return true;
             }});
     node.follower = std::make_unique<store_follower>(store_follower_options{
         .seed = random_(),
--- a/test/core/config/store_fleet_reads.cpp
+++ b/test/core/config/store_fleet_reads.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 constexpr milliseconds warm_up{4'000};
-// A whole long poll, with the delay between two reads.
+// Longer than a long poll and the delay between two reads.
 constexpr milliseconds poll_period{2'530};
 constexpr milliseconds step{110};
 constexpr milliseconds apply_time{2'000};
@@ -233,6 +233,24 @@
     }
 }
 
+// Guards against readers that wait for the rest of a long poll although its answer was lost. A change has to be applied
+// within the contact time after a fault of the store.
+BOOST_AUTO_TEST_CASE(change_whose_answers_were_all_lost_is_applied_within_the_contact_time) {
+    for (auto begin = warm_up; begin < warm_up + milliseconds{2'530}; begin += milliseconds{110}) {
+        bool is_lost = false;
+        store_fleet fleet{{.loses_answer = [&is_lost](std::size_t) {
+            return is_lost;
+        }}};
+        fleet.run_for(begin);
+        is_lost = true;
+        fleet.change();
+        is_lost = false;
+        fleet.run_for(contact_time);
+        BOOST_TEST(fleet.outdated_nodes() == "",
+                   "answers lost at " << begin.count() << " ms: outdated" << fleet.outdated_nodes());
+    }
+}
+
 // Guards against a reader that stays behind, or keeps its data centre behind, after a suspension.
 BOOST_AUTO_TEST_CASE(suspended_reader_delays_no_other_node) {
     constexpr milliseconds suspension{4'000};
