Export the history of the store in the metrics

A change of the store's history was visible in the log only. A node with a store now exports store_era, and counts replaced histories, ignored responses of an earlier era and responses without an era, all from store_history.

--- a/src/goldcrestwell/shell/metrics_text.cpp
+++ b/src/goldcrestwell/shell/metrics_text.cpp
@@ -121,6 +121,16 @@
                           counts.withheld);
 }
 
+void write_store(metrics_writer& writer, const store_history& history) {
+    writer.write_metric("store_era", "gauge", "Latest era that the store has reported.", history.era().value());
+    writer.write_metric("store_histories_replaced_total", "counter", "Returns of the store from an older copy.",
+                        history.replacements());
+    writer.write_metric("stale_store_responses_total", "counter", "Ignored responses of an earlier era of the store.",
+                        history.stale_responses());
+    writer.write_metric("store_responses_without_era_total", "counter", "Responses of the store without their era.",
+                        history.responses_without_era());
+}
+
 void write_invariants(metrics_writer& writer, const invariant_monitor& invariants) {
     writer.declare("invariant_violations_total", "counter", "Violated invariants.");
     for (std::size_t index = 0; index < invariant_id_count; ++index) {
@@ -144,6 +154,9 @@
     write_calls(writer, core);
     write_latencies(writer, core);
     write_membership(writer, core.members());
+    if (core.operators() != nullptr) {
+        write_store(writer, core.history());
+    }
     write_invariants(writer, core.invariants());
     writer.declare("process_seconds_total", "counter", "Processor time used by this process.");
     writer.value("process_seconds_total", "", format_seconds(usage.processor_time));
--- a/test/platform/log_lines.cpp
+++ b/test/platform/log_lines.cpp
@@ -89,6 +89,11 @@
     const auto metrics = cluster.metrics(first_host);
     BOOST_TEST(contains(metrics, "\ngoldcrestwell_config_position 1\n"));
     BOOST_TEST(contains(metrics, "\ngoldcrestwell_config_era "));
+    BOOST_TEST(contains(metrics, "\ngoldcrestwell_store_era 1\n"));
+    for (const auto* name :
+         {"store_histories_replaced_total", "stale_store_responses_total", "store_responses_without_era_total"}) {
+        BOOST_TEST(contains(metrics, std::string{"\ngoldcrestwell_"} + name + " 0\n"), name);
+    }
     BOOST_TEST(contains(metrics, "\ngoldcrestwell_records_skipped_total{reason=\"older_version\"} 0\n"));
     BOOST_TEST(contains(metrics, "\ngoldcrestwell_call_lines_omitted_total 0\n"));
 }
