--- a/test/core/config/store_fleet_reads.cpp
+++ b/test/core/config/store_fleet_reads.cpp
@@ -16,7 +16,6 @@
 using namespace goldcrestwell;
 using std::chrono::milliseconds;
 using test::store_fleet;
-using test::store_fleet_options;
 using test::store_service;
 
 namespace {
