Let only the first reader of each data centre poll briefly

One reader that notices a lost response is enough, because the others pull from it: the first one of each data centre waits 1.2 s, the others 2.5 s again.

change_whose_answers_were_all_lost_is_applied_within_the_contact_time passes with it; test_core_config and test_core_node pass.

--- a/src/goldcrestwell/core/config/store_follower.cpp
+++ b/src/goldcrestwell/core/config/store_follower.cpp
@@ -30,12 +30,20 @@
     next_read_at_.reset();
     requested_ = position_;
     if (position_) {
-        options_.read_after(*position_, last_read_failed_ ? std::chrono::milliseconds{} : options_.long_poll);
+        options_.read_after(*position_, poll_time());
     } else {
         options_.read_newest();
     }
 }
 
+std::chrono::milliseconds store_follower::poll_time() const {
+    if (last_read_failed_) {
+        return {};
+    }
+    const auto is_brief = options_.polls_briefly && options_.polls_briefly();
+    return is_brief ? std::min(options_.long_poll, store_short_poll) : options_.long_poll;
+}
+
 void store_follower::on_page(const store_page& page, const steady_time now) {
     last_read_failed_ = page.outcome == read_outcome::failed;
     if (last_read_failed_) {
--- a/src/goldcrestwell/core/config/store_follower.hpp
+++ b/src/goldcrestwell/core/config/store_follower.hpp
@@ -12,14 +12,17 @@
 
 namespace goldcrestwell {
 
+/** @brief Default time for which a read waits for new records. */
+inline constexpr std::chrono::milliseconds default_store_long_poll{2'500};
+
 /**
- * @brief Default time for which a read waits for new records.
+ * @brief Time for which a read of the first reader of a data centre waits.
  *
  * A response that was lost is noticed only after this time and the timeout of a call. Together they have to be shorter
  * than the 3 s after a fault of the store in which the nodes must be up to date again, with time left for the next read
- * and for nodes on standby.
+ * and for the other nodes, which then pull the records.
  */
-inline constexpr std::chrono::milliseconds default_store_long_poll{1'200};
+inline constexpr std::chrono::milliseconds store_short_poll{1'200};
 
 /** @brief Delays and hooks of a `store_follower`; hooks must be set unless stated otherwise. */
 struct store_follower_options {
@@ -27,6 +30,8 @@
     std::uint64_t seed{};
     /** @brief Time for which a read waits for new records; see `default_store_long_poll`. */
     std::chrono::milliseconds long_poll{default_store_long_poll};
+    /** @brief Checks whether reads wait for `store_short_poll` at most; if empty, they do not. */
+    std::function<bool()> polls_briefly;
     /** @brief Bounds of the delay after a failed read; it doubles with each failure. */
     std::chrono::milliseconds min_retry_delay{150};
     std::chrono::milliseconds max_retry_delay{1'000};
@@ -88,6 +93,8 @@
 
 private:
     void read();
+    /** @return Time for which the next read waits for new records. */
+    [[nodiscard]] std::chrono::milliseconds poll_time() const;
     /** @return True if a page belongs to another history than the request and was dropped. */
     [[nodiscard]] bool drop_if_replaced(const store_page& page, steady_time now);
     [[nodiscard]] bool awaits_peer_records(steady_time now) const;
--- a/src/goldcrestwell/core/node/node.hpp
+++ b/src/goldcrestwell/core/node/node.hpp
@@ -219,6 +219,8 @@
     [[nodiscard]] std::span<const upstream_candidate> candidates_of(const service_name& service,
                                                                     const upstream_version& version);
     [[nodiscard]] bool is_row_failing(const row_key& row);
+    /** @return Nodes that read each change of the store for the data centre, in a fixed order; never empty. */
+    [[nodiscard]] std::vector<node_id> store_readers() const;
     [[nodiscard]] bool reads_store_immediately() const;
     void request_records(node_id from, const document_pull& pull);
     void on_config(const routing_config& config);
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -57,6 +57,7 @@
                     return record != nullptr && record->data_centre == options_.data_centre;
                 },
             .reads_store_immediately = [this] { return reads_store_immediately(); },
+            .polls_store_briefly = [this] { return store_readers().front() == options_.self; },
             .has_recent_contact = [this] { return now_.steady - last_message_received_ < max_silence; },
             .config_changed = [this](const routing_config& config) { on_config(config); },
             .rollout_request_received =
@@ -145,7 +146,7 @@
 
 // The other nodes of the data centre are notified of a change by these readers and fetch it from them, without a call
 // to the store.
-bool node::reads_store_immediately() const {
+std::vector<node_id> node::store_readers() const {
     // If a third of the nodes cannot reach the store, one data centre in thirty has no reader; it then receives changes
     // from the other data centres.
     constexpr std::size_t reader_count = 3;
@@ -155,8 +156,13 @@
         order.push_back(options_.self);
     }
     order = rendezvous_order(stable_hash(assignment_name), std::move(order));
-    const auto chosen = std::span{order}.first(std::min(reader_count, order.size()));
-    return std::ranges::find(chosen, options_.self) != chosen.end();
+    order.resize(std::min(reader_count, order.size()));
+    return order;
+}
+
+bool node::reads_store_immediately() const {
+    const auto readers = store_readers();
+    return std::ranges::find(readers, options_.self) != readers.end();
 }
 
 void node::on_store_page(const store_page& page, const time_sample now) {
--- a/src/goldcrestwell/core/node/operator_source.hpp
+++ b/src/goldcrestwell/core/node/operator_source.hpp
@@ -35,6 +35,8 @@
     std::function<bool(node_id)> is_nearby;
     /** @brief Checks whether this node reads each change of the store immediately. */
     std::function<bool()> reads_store_immediately;
+    /** @brief Checks whether this node is the first one of its data centre to notice that a response was lost. */
+    std::function<bool()> polls_store_briefly;
     /** @brief Checks whether messages from other nodes were received recently. */
     std::function<bool()> has_recent_contact;
     std::function<void(const routing_config&)> config_changed;
--- a/test/core/config/store_fleet.cpp
+++ b/test/core/config/store_fleet.cpp
@@ -65,6 +65,7 @@
             }});
     node.follower = std::make_unique<store_follower>(store_follower_options{
         .seed = random_(),
+        .polls_briefly = [this, index] { return readers_before(index) == 0; },
         .max_standby_read_interval = milliseconds{1'400},
         .max_peer_wait = milliseconds{1'500},
         .expects_peer_records = [&node] { return node.documents->is_pull_pending(); },
@@ -259,12 +260,16 @@
     return time_.now() >= nodes_[index].suspected_from && time_.now() < nodes_[index].suspected_until;
 }
 
-bool store_fleet::reads_immediately(const std::size_t index) const {
-    std::size_t readers_before = 0;
+std::size_t store_fleet::readers_before(const std::size_t index) const {
+    std::size_t count = 0;
     for (auto other = data_centre_of(index) * options_.nodes_each; other < index; ++other) {
-        readers_before += is_suspected(other) ? 0U : 1U;
+        count += is_suspected(other) ? 0U : 1U;
     }
-    return readers_before < reader_count;
+    return count;
+}
+
+bool store_fleet::reads_immediately(const std::size_t index) const {
+    return readers_before(index) < reader_count;
 }
 
 } // namespace goldcrestwell::test
--- a/test/core/config/store_fleet.hpp
+++ b/test/core/config/store_fleet.hpp
@@ -108,6 +108,8 @@
     void probe(std::size_t index);
     [[nodiscard]] std::size_t next_target(std::size_t index);
     [[nodiscard]] bool is_suspected(std::size_t index) const;
+    /** @return Number of nodes of the data centre that read the store before this one. */
+    [[nodiscard]] std::size_t readers_before(std::size_t index) const;
     [[nodiscard]] bool reads_immediately(std::size_t index) const;
     [[nodiscard]] store_page page_after(log_offset after) const;
     [[nodiscard]] node_id id_of(const std::size_t index) const { return {1, static_cast<std::uint16_t>(index + 1)}; }
--- a/test/core/node/older_configuration.cpp
+++ b/test/core/node/older_configuration.cpp
@@ -34,6 +34,7 @@
          .send_batch = [](node_id, const document_batch&) {},
          .is_nearby = [](node_id) { return true; },
          .reads_store_immediately = [] { return true; },
+         .polls_store_briefly = [] { return false; },
          .has_recent_contact = [] { return true; },
          .config_changed = [this](const routing_config& config) { applied.push_back(config.version); },
          .rollout_request_received = [](const rollout_request&) {},
--- a/test/core/node/split_routes.cpp
+++ b/test/core/node/split_routes.cpp
@@ -43,6 +43,7 @@
          .send_batch = [](node_id, const document_batch&) {},
          .is_nearby = [](node_id) { return true; },
          .reads_store_immediately = [] { return true; },
+         .polls_store_briefly = [] { return false; },
          .has_recent_contact = [] { return true; },
          .config_changed = [](const routing_config&) {},
          .rollout_request_received = [](const rollout_request&) {},
