--- a/test/store_return/return_drill.hpp
+++ b/test/store_return/return_drill.hpp
@@ -38,6 +38,8 @@
 
     /** @brief Writes the versions before the outage and waits until the last one is in force. */
     void write_history();
+    /** @brief Writes the versions after the one of the copy again, as they were. */
+    void write_history_again();
     void begin_outage(const store_outage& outage = {});
     /** @brief Ends the outage with the history of the copy. */
     void come_back_from_copy();
