Let the store of the soak return from earlier copies, off by default

Cause: the soak's store never lost what it had acknowledged.

Change: with GOLDCRESTWELL_STORE_RETURNS the fault injector lets the store go away for 0.2 to 2 s, closed, silent or with long polls that go on, and return from one of its last six copies. Within 3 s the operator writes the next version or the lost one again. A version is written before each fault, so that a return loses several, and the faults end with a return from the oldest copy. Runs with planned work only have no returns. The checks stay as they are. The operator waits while the store is away. The random order of faults without the variable is unchanged.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -9,11 +9,12 @@
 using std::chrono::milliseconds;
 
 constexpr const char* operators_topic = "keyed.op";
+constexpr std::size_t max_copies = 6;
 
 } // namespace
 
-fault_injector::fault_injector(soak_cluster& cluster, const std::uint64_t seed, const bool planned_only)
-    : cluster_{cluster}, random_{seed}, planned_only_{planned_only} {}
+fault_injector::fault_injector(soak_cluster& cluster, const fault_injector_options& options)
+    : cluster_{cluster}, options_{options}, random_{options.seed} {}
 
 int fault_injector::random_int(const int max) {
     return std::uniform_int_distribution<int>{0, max}(random_);
@@ -33,7 +34,15 @@
 }
 
 void fault_injector::inject_fault() {
-    const auto kind = planned_only_ ? 0 : random_int(9);
+    copies_.push_back(cluster_.store().copy());
+    if (copies_.size() > max_copies) {
+        copies_.pop_front();
+    }
+    if (options_.store_returns) {
+        // A series of versions, so that a return loses several.
+        cluster_.publish_config();
+    }
+    const auto kind = options_.planned_only ? 0 : random_int(options_.store_returns ? 11 : 9);
     if (kind <= 2) {
         inject_planned_work();
         return;
@@ -46,8 +55,10 @@
         inject_network_fault(host);
     } else if (kind <= 8) {
         inject_upstream_fault(host);
-    } else {
+    } else if (kind == 9) {
         inject_store_fault();
+    } else {
+        inject_store_return();
     }
 }
 
@@ -149,6 +160,36 @@
     }
 }
 
+void fault_injector::inject_store_return() {
+    if (cluster_.store().away()) {
+        return;
+    }
+    record_fault("store returns from a copy");
+    const auto silent = random_int(1) == 0;
+    cluster_.store().go_away({.kind = silent ? test::outage_kind::silent : test::outage_kind::closed,
+                              .keeps_long_polls = silent && random_int(1) == 0});
+    const auto copy = copies_[static_cast<std::size_t>(random_int(static_cast<int>(copies_.size()) - 1))];
+    cluster_.tasks().schedule(random_duration(200, 2'000), [this, copy] { end_store_outage(copy); });
+}
+
+void fault_injector::end_store_outage(const test::store_copy& copy) {
+    if (!cluster_.store().away()) {
+        return;
+    }
+    if (!cluster_.store().come_back(copy)) {
+        cluster_.record().failures.emplace_back("the store could not bind its port again");
+    }
+    cluster_.record_disturbance();
+    const auto writes_on = random_int(1) == 0;
+    cluster_.tasks().schedule(random_duration(0, 3'000), [this, writes_on] {
+        if (writes_on) {
+            cluster_.publish_config();
+        } else {
+            cluster_.write_config();
+        }
+    });
+}
+
 void fault_injector::inject_upstream_fault(soak_host& host) {
     upstream_faults faults;
     switch (random_int(3)) {
@@ -176,6 +217,10 @@
 void fault_injector::clear_faults() {
     cluster_.store().set_down(false);
     cluster_.store().lose_append_responses(false);
+    if (options_.store_returns) {
+        cluster_.store().go_away({});
+        end_store_outage(copies_.front());
+    }
     for (auto& host : cluster_.hosts()) {
         host->process->send_signal(SIGCONT);
         host->paused = false;
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -1,10 +1,13 @@
 #ifndef GOLDCRESTWELL_SOAK_FAULT_INJECTOR_HPP
 #define GOLDCRESTWELL_SOAK_FAULT_INJECTOR_HPP
 
+#include "platform/store_copy.hpp"
+#include "soak/fault_injector_options.hpp"
 #include "soak/soak_cluster.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <random>
 #include <string>
 #include <vector>
@@ -14,12 +17,11 @@
 /** @brief Injects random faults and planned work, which can overlap, from outside the processes. */
 class fault_injector {
 public:
-    /** @param planned_only Injects only restarts, settings reloads, upstream replacements and configuration changes. */
-    fault_injector(soak_cluster& cluster, std::uint64_t seed, bool planned_only);
+    fault_injector(soak_cluster& cluster, const fault_injector_options& options);
 
     /** @brief Starts a random fault or planned work; a fault ends by itself after a random time. */
     void inject_fault();
-    /** @brief Ends all faults that are still in effect. */
+    /** @brief Ends all faults that are still in effect; with returns of the store, it then returns from a copy. */
     void clear_faults();
     /** @brief Returns descriptions of the injected faults in the order of injection. */
     [[nodiscard]] const std::vector<std::string>& log() const noexcept { return log_; }
@@ -31,6 +33,8 @@
     void inject_process_fault(soak_host& host);
     void inject_network_fault(soak_host& host);
     void inject_store_fault();
+    void inject_store_return();
+    void end_store_outage(const test::store_copy& copy);
     void inject_upstream_fault(soak_host& host);
     void inject_one_way_hold(test::tcp_relay& relay, const std::string& name);
     void record_fault(const std::string& description, const soak_host* host = nullptr);
@@ -39,8 +43,10 @@
     [[nodiscard]] std::chrono::milliseconds random_duration(int min_ms, int max_ms);
 
     soak_cluster& cluster_;
+    fault_injector_options options_;
     std::mt19937_64 random_;
-    bool planned_only_;
+    /** @brief Copies of the store taken before the last faults, the oldest first. */
+    std::deque<test::store_copy> copies_;
     std::vector<std::string> log_;
 };
 
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -44,10 +44,17 @@
     return selected;
 }
 
+/** @brief Checks whether the store may return from earlier copies; not by default, because of issue 44. */
+bool store_returns_enabled() {
+    return std::getenv("GOLDCRESTWELL_STORE_RETURNS") != nullptr; // NOLINT(concurrency-mt-unsafe)
+}
+
 void run_seed(const std::uint64_t seed) {
     const auto planned_only = seed % planned_only_seed_interval == 0;
     soak_cluster cluster{{.seed = seed}};
-    fault_injector faults{cluster, seed, planned_only};
+    fault_injector faults{
+        cluster,
+        {.seed = seed, .planned_only = planned_only, .store_returns = !planned_only && store_returns_enabled()}};
     BOOST_CHECK_MESSAGE(cluster.wait_until_ready(start_timeout), "the cluster did not start");
     std::mt19937_64 random{seed};
     std::uniform_int_distribution<int> pause_ms{100, planned_only ? 2'000 : 1'200};
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds announcement_interval{300};
 constexpr std::chrono::milliseconds upstream_drain{1'500};
 constexpr std::chrono::milliseconds check_interval{200};
+constexpr std::chrono::milliseconds write_retry_interval{100};
 constexpr std::chrono::milliseconds request_timeout{1'000};
 // Requests may be cut off while the effects of a fault last: timeouts, restarts and the gossip about them.
 constexpr std::chrono::seconds disturbance_duration{6};
@@ -135,13 +136,22 @@
 }
 
 void soak_cluster::publish_config() {
+    ++config_version_;
+    write_config();
+}
+
+void soak_cluster::write_config() {
+    if (store_.away()) {
+        tasks_.schedule(write_retry_interval, [this] { write_config(); });
+        return;
+    }
     const auto route = [](const std::string& path, const std::string& kind) {
         return nlohmann::json{{"host", "shop.example"}, {"path_prefix", path},      {"route_kind", kind},
                               {"timeout_ms", 1'000},    {"target_latency_ms", 500}, {"priority", 1},
                               {"service", "orders"},    {"max_attempts", 2}};
     };
     const nlohmann::json config{
-        {"version", ++config_version_},
+        {"version", config_version_},
         {"routes", {{"r-read", route("/read/", "idempotent")}, {"r-pay", route("/pay/", "non_idempotent")}}},
         {"services", {{"orders", {{"health_path", "/health"}, {"max_connections", 130}}}}},
         {"limits",
--- a/soak/soak_cluster.hpp
+++ b/soak/soak_cluster.hpp
@@ -68,6 +68,8 @@
 
     /** @brief Writes the next version of the configuration to the store. */
     void publish_config();
+    /** @brief Writes the newest version of the configuration, as soon as the store is there. */
+    void write_config();
     /** @brief Ends a sidecar with a signal and starts it again after a delay. */
     void restart(soak_host& host, int signal, std::chrono::milliseconds delay);
     /** @brief Records a fault, so that requests may be cut off for some seconds. */
