Report the return of a store whose first era is zero

An era of zero that the store has reported was taken for no era, so the first return of a store that counts its histories from zero was not reported: departures, entries and statuses that it had lost were not written again. The known era is now empty until the store has reported one.

Measured: return_from_the_history_with_era_zero_is_reported failed before and passes; the other tests of history_of_the_store pass.

--- a/src/goldcrestwell/core/config/store_history.hpp
+++ b/src/goldcrestwell/core/config/store_history.hpp
@@ -34,8 +34,8 @@
      */
     std::optional<store_era> on_response(std::optional<store_era> era);
 
-    /** @return Latest era that the store has reported to this node; zero if there is none. */
-    [[nodiscard]] store_era era() const noexcept { return era_; }
+    /** @return Latest era that the store has reported to this node; empty if there is none. */
+    [[nodiscard]] std::optional<store_era> era() const noexcept { return era_; }
     /** @return Number of times that the store returned from an older copy. */
     [[nodiscard]] std::uint64_t replacements() const noexcept { return replacements_; }
     [[nodiscard]] std::uint64_t stale_responses() const noexcept { return stale_responses_; }
@@ -44,7 +44,7 @@
 
 private:
     store_history_options options_;
-    store_era era_;
+    std::optional<store_era> era_;
     std::uint64_t replacements_{};
     std::uint64_t stale_responses_{};
     std::uint64_t responses_without_era_{};
--- a/test/core/config/store_history.cpp
+++ b/test/core/config/store_history.cpp
@@ -58,4 +58,12 @@
     BOOST_TEST(node.replaced.empty());
 }
 
+// Guards against a first return that is not reported if the store counts its histories from zero.
+BOOST_AUTO_TEST_CASE(return_from_the_history_with_era_zero_is_reported) {
+    fixture node;
+    static_cast<void>(node.history.on_response(store_era{}));
+    static_cast<void>(node.history.on_response(store_era{1}));
+    BOOST_TEST((node.replaced == std::vector<era_pair>{{0, 1}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
