Request all records of a peer again if one of them is unreadable

A batch with an unreadable record has no effect, but it counted as the batch with all records that a node asks a peer for once in each history. The node then never asked again and kept an older configuration until the operator wrote the next one. The batch now counts only once its records are merged.

Measured: records_of_a_peer_are_requested_again_if_one_is_unreadable failed before and passes; the other tests of replaced_history pass.

--- a/src/goldcrestwell/core/config/document_register.cpp
+++ b/src/goldcrestwell/core/config/document_register.cpp
@@ -86,16 +86,11 @@
 }
 
 void document_register::on_batch(const document_batch& batch) {
-    peer_records_era_ = std::max(peer_records_era_, era_of(std::max(position_, batch.through)));
-    if (pull_ && pull_->is_full) {
-        pull_.reset();
-    }
-    if (!options_.unpack) {
-        on_records(batch.records, batch.through);
-        return;
-    }
     auto records = batch.records;
     for (auto& record : records) {
+        if (!options_.unpack) {
+            break;
+        }
         auto payload = options_.unpack(record.payload);
         if (!payload) {
             options_.record_unreadable(record);
@@ -103,6 +98,10 @@
         }
         record.payload = std::move(*payload);
     }
+    peer_records_era_ = std::max(peer_records_era_, era_of(std::max(position_, batch.through)));
+    if (pull_ && pull_->is_full) {
+        pull_.reset();
+    }
     on_records(records, batch.through);
 }
 
--- a/test/core/config/replaced_history.cpp
+++ b/test/core/config/replaced_history.cpp
@@ -181,6 +181,28 @@
     BOOST_TEST(!node.documents.next_timer().has_value());
 }
 
+// Guards against a node that never gets lost records because one of a peer's records was unreadable.
+BOOST_AUTO_TEST_CASE(records_of_a_peer_are_requested_again_if_one_is_unreadable) {
+    std::size_t pulls{};
+    document_register documents{{.send_pull = [&](node_id, const document_pull&) { ++pulls; },
+                                 .send_batch = [](node_id, const document_batch&) {},
+                                 .unpack = [](std::string_view) -> std::optional<std::string> { return std::nullopt; },
+                                 .record_unreadable = [](const operator_record&) {},
+                                 .record_changed =
+                                     [](const operator_record&) {
+                                         return true;
+                                     }}};
+    documents.on_records({}, offset(2, 6));
+    documents.on_peer_position(peer, offset(2, 6), start);
+    documents.on_timer(start + std::chrono::seconds{1});
+    BOOST_TEST(pulls == 1U);
+    documents.on_batch(
+        {.through = offset(2, 6), .records = {{.offset = offset(1, 9), .key = "config", .payload = "version 3"}}});
+    documents.on_peer_position(peer, offset(2, 6), start + std::chrono::seconds{1});
+    documents.on_timer(start + std::chrono::seconds{3});
+    BOOST_TEST(pulls == 2U);
+}
+
 // Guards against documents that are sent between nodes for nothing, on a store that never returns from a copy.
 BOOST_AUTO_TEST_CASE(nothing_is_pulled_without_need_from_a_store_without_eras) {
     register_fixture node;
