--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -21,7 +21,9 @@
 constexpr int planned_only_seed_interval = 4;
 
 // Seeds that failed in the past. Each one needs a comment with the cause.
-const std::vector<std::uint64_t> regression_seeds{};
+const std::vector<std::uint64_t> regression_seeds{
+    2, // Nodes compared offsets of a history of the store that an older copy had replaced.
+};
 
 /** @brief Returns the seeds in `GOLDCRESTWELL_SEEDS=first:last` or, by default, those for CI. */
 std::vector<std::uint64_t> seeds() {
@@ -44,17 +46,10 @@
     return selected;
 }
 
-/** @brief Checks whether the store may return from earlier copies; not by default, because of issue 44. */
-bool store_returns_enabled() {
-    return std::getenv("GOLDCRESTWELL_STORE_RETURNS") != nullptr; // NOLINT(concurrency-mt-unsafe)
-}
-
 void run_seed(const std::uint64_t seed) {
     const auto planned_only = seed % planned_only_seed_interval == 0;
     soak_cluster cluster{{.seed = seed}};
-    fault_injector faults{
-        cluster,
-        {.seed = seed, .planned_only = planned_only, .store_returns = !planned_only && store_returns_enabled()}};
+    fault_injector faults{cluster, {.seed = seed, .planned_only = planned_only, .store_returns = !planned_only}};
     BOOST_CHECK_MESSAGE(cluster.wait_until_ready(start_timeout), "the cluster did not start");
     std::mt19937_64 random{seed};
     std::uniform_int_distribution<int> pause_ms{100, planned_only ? 2'000 : 1'200};
--- a/src/goldcrestwell/shell/metrics_text.cpp
+++ b/src/goldcrestwell/shell/metrics_text.cpp
@@ -122,7 +122,8 @@
 }
 
 void write_store(metrics_writer& writer, const store_history& history) {
-    writer.write_metric("store_era", "gauge", "Latest era that the store has reported.", history.era().value());
+    writer.write_metric("store_era", "gauge", "Latest era that the store has reported.",
+                        history.era().value_or(store_era{}).value());
     writer.write_metric("store_histories_replaced_total", "counter", "Returns of the store from an older copy.",
                         history.replacements());
     writer.write_metric("stale_store_responses_total", "counter", "Ignored responses of an earlier era of the store.",
