Do not send a conditional append in a later history

The condition of an append is a number of records. An append that waited in the queue while the store returned from an older copy was sent in the new history, where the number may fit again: it could replace the end of a rollout that another node had recorded. Such an append now fails without a call; the status is read and recorded again.

--- a/src/goldcrestwell/platform/store_client.cpp
+++ b/src/goldcrestwell/platform/store_client.cpp
@@ -124,11 +124,14 @@
     if (expected_end) {
         target.append("&at=").append(std::to_string(number_of(*expected_end)));
     }
-    enqueue(append_request(std::move(target), key, payload, options_.timeout),
-            [expected_end, done = std::move(done)](const upstream_result& result, const std::optional<store_era> era) {
-                const auto is_expected = era && (!expected_end || era_of(*expected_end) == *era);
-                done(is_expected && has_status(result, status_ok));
-            });
+    const auto required_era = expected_end ? std::optional{era_of(*expected_end)} : std::nullopt;
+    enqueue(
+        append_request(std::move(target), key, payload, options_.timeout),
+        [required_era, done = std::move(done)](const upstream_result& result, const std::optional<store_era> era) {
+            const auto is_expected = era && (!required_era || *required_era == *era);
+            done(is_expected && has_status(result, status_ok));
+        },
+        required_era);
 }
 
 void store_client::append_at_once(const std::string_view topic, const std::string_view key,
@@ -141,12 +144,14 @@
               });
 }
 
-std::optional<store_era> store_client::identify_era(const upstream_result& result) const {
+std::optional<store_era> store_client::identify_era(const upstream_result& result) {
     if (result.outcome != upstream_outcome::answered) {
         return std::nullopt;
     }
     const auto header = find_header(result.response.headers, platform_names::store_era);
-    return options_.response_received(header ? decode_era(*header) : std::nullopt);
+    const auto era = options_.response_received(header ? decode_era(*header) : std::nullopt);
+    era_ = era.value_or(era_);
+    return era;
 }
 
 void store_client::report_skipped(const std::string_view topic, const std::size_t count) const {
@@ -155,8 +160,8 @@
     }
 }
 
-void store_client::enqueue(http_client_request request, result_hook done) {
-    queue_.push_back({.request = std::move(request), .done = std::move(done)});
+void store_client::enqueue(http_client_request request, result_hook done, const std::optional<store_era> required_era) {
+    queue_.push_back({.request = std::move(request), .done = std::move(done), .required_era = required_era});
     send_next_call();
 }
 
@@ -167,10 +172,20 @@
     call_in_progress_ = true;
     auto next = std::move(queue_.front());
     queue_.pop_front();
+    if (next.required_era && *next.required_era != era_) {
+        loop_.defer([this, done = std::move(next.done)] {
+            call_in_progress_ = false;
+            done({}, std::nullopt);
+            send_next_call();
+        });
+        return;
+    }
     ensure_connection(call_connection_)
         .send(next.request, [this, done = std::move(next.done)](const upstream_result& result) {
+            // The hooks of a later era may enqueue calls, which must not be sent before that era is known here.
+            const auto era = identify_era(result);
             call_in_progress_ = false;
-            done(result, identify_era(result));
+            done(result, era);
             send_next_call();
         });
 }
--- a/src/goldcrestwell/platform/store_client.hpp
+++ b/src/goldcrestwell/platform/store_client.hpp
@@ -50,7 +50,7 @@
     /**
      * @brief Appends a record; with `expected_end`, only if the topic ends at this position.
      *
-     * An append that was confirmed in a later history than the one of `expected_end` is not reported as confirmed.
+     * In a later history than the one of `expected_end` it is not sent, or, if it was sent before, not confirmed.
      */
     void append(std::string_view topic, std::string_view key, std::string_view payload,
                 std::optional<log_offset> expected_end, append_hook done);
@@ -64,15 +64,17 @@
     struct queued_call {
         http_client_request request;
         result_hook done;
+        /** @brief Era outside which the call is not sent; empty if it may be sent in any. */
+        std::optional<store_era> required_era;
     };
 
     /** @param memory Memory reserved for the pages collected so far. */
     void read_newest_page(std::string topic, store_page collected, const std::string& after_key,
                           std::shared_ptr<memory_reservation> memory, page_hook done);
     /** @return Era of a response, or nothing if there is no response or it belongs to an earlier history. */
-    [[nodiscard]] std::optional<store_era> identify_era(const upstream_result& result) const;
+    [[nodiscard]] std::optional<store_era> identify_era(const upstream_result& result);
     void report_skipped(std::string_view topic, std::size_t count) const;
-    void enqueue(http_client_request request, result_hook done);
+    void enqueue(http_client_request request, result_hook done, std::optional<store_era> required_era = {});
     void send_next_call();
     [[nodiscard]] http_connection& ensure_connection(std::unique_ptr<http_connection>& connection);
 
@@ -80,6 +82,8 @@
     store_client_options options_;
     std::deque<queued_call> queue_;
     bool call_in_progress_{};
+    /** @brief Era of the latest response. */
+    store_era era_;
     /** @brief Used for long polls only, because they would delay all other requests. */
     std::unique_ptr<http_connection> poll_connection_;
     std::unique_ptr<http_connection> call_connection_;
