Keep a record of the present history if a lost one has no document

A record without content, or one that can not be decoded, that only an earlier history held and that a peer sent later replaced the record of the same key in the present history. Peers that asked this node for its records then got no configuration.

Measured: lost_record_without_content_does_not_replace_a_later_one failed before and passes; test_core_node passes.

--- a/src/goldcrestwell/core/node/operator_source.cpp
+++ b/src/goldcrestwell/core/node/operator_source.cpp
@@ -1,5 +1,7 @@
 #include "goldcrestwell/core/node/operator_source.hpp"
 
+#include "goldcrestwell/core/common/store_offset.hpp"
+
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -143,13 +145,15 @@
 }
 
 bool operator_source::apply_record(const operator_record& record) {
+    // A lost record without a document must not replace one that the present history holds.
+    const auto is_present = era_of(record.offset) >= era_of(register_.position());
     if (record.payload.empty()) {
-        return true;
+        return is_present;
     }
     const auto document = options_.hooks.decode(record);
     if (!document) {
         links_.record_unreadable(record);
-        return true;
+        return is_present;
     }
     return std::visit([this, &record](const auto& decoded) { return apply(decoded, record); }, *document);
 }
--- a/test/core/node/older_configuration.cpp
+++ b/test/core/node/older_configuration.cpp
@@ -13,6 +13,7 @@
 struct fixture {
     std::vector<std::uint64_t> applied;
     std::vector<record_skipped> skipped;
+    document_batch sent;
     operator_source source{
         {.hooks = {.read_newest = [] {},
                    .read_after = [](log_offset, std::chrono::milliseconds) {},
@@ -31,7 +32,7 @@
                           [](node_id, const evidence_report&) {
                           }},
          .send_pull = [](node_id, const document_pull&) {},
-         .send_batch = [](node_id, const document_batch&) {},
+         .send_batch = [this](node_id, const document_batch& batch) { sent = batch; },
          .is_nearby = [](node_id) { return true; },
          .reads_store_immediately = [] { return true; },
          .has_recent_contact = [] { return true; },
@@ -87,4 +88,13 @@
     BOOST_TEST((skipped.front().known_offset == offset(1, 9)));
 }
 
+// Guards against a node that gets no configuration, because its peer keeps a lost record without content.
+BOOST_FIXTURE_TEST_CASE(lost_record_without_content_does_not_replace_a_later_one, fixture) {
+    receive(offset(2, 6), 7);
+    source.on_batch({.through = offset(1, 9), .records = {{.offset = offset(1, 9), .key = "config"}}}, time_sample{});
+    source.on_pull({}, {});
+    BOOST_REQUIRE(sent.records.size() == 1U);
+    BOOST_TEST(sent.records.front().payload == "7");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
