Bound the calls of readers and directory checks by settings and eras

The short poll of the first reader of a data centre ignored store.long_poll_ms, so a node polled more often than it was told to: test_platform failed once in restarted_node_needs_three_calls_to_the_store, 5 calls in place of 3. It is a setting of its own now, store.short_poll_ms, and the test sets both, so that it counts the calls of the restart only, as before; its bound is the same.

The position of a peer now starts one check for each era, and a failed check follows the delays of the directory.

later_history_of_a_peer_is_reported_once is new; test_core_config and the case of test_platform pass.

--- a/src/goldcrestwell/codec/sidecar_settings.hpp
+++ b/src/goldcrestwell/codec/sidecar_settings.hpp
@@ -30,6 +30,8 @@
     std::chrono::milliseconds store_timeout{1'500};
     /** @brief Time for which a read of the store waits for new records; the store allows up to 30 s. */
     std::chrono::milliseconds long_poll{default_store_long_poll};
+    /** @brief Wait of the first reader of a data centre. */
+    std::chrono::milliseconds short_poll{default_store_short_poll};
     /**
      * @brief Maximum pause between reads of a node on standby; other nodes, from which it receives changes, read
      * without a pause. The default lets it apply changes within 2 s.
--- a/src/goldcrestwell/codec/sidecar_settings_reader.cpp
+++ b/src/goldcrestwell/codec/sidecar_settings_reader.cpp
@@ -46,6 +46,7 @@
     walker.endpoint("address", to.store);
     walker.duration("timeout_ms", milliseconds{100}, minutes{1}, to.store_timeout);
     walker.duration("long_poll_ms", milliseconds{100}, seconds{30}, to.long_poll);
+    walker.duration("short_poll_ms", milliseconds{100}, seconds{30}, to.short_poll);
     walker.duration("standby_pause_ms", milliseconds{0}, seconds{5}, to.max_standby_read_interval);
     walker.duration("peer_wait_ms", milliseconds{0}, seconds{5}, to.max_peer_wait);
     walker.enter("calls");
--- a/src/goldcrestwell/core/config/store_follower.cpp
+++ b/src/goldcrestwell/core/config/store_follower.cpp
@@ -41,7 +41,7 @@
         return {};
     }
     const auto is_brief = options_.polls_briefly && options_.polls_briefly();
-    return is_brief ? std::min(options_.long_poll, store_short_poll) : options_.long_poll;
+    return is_brief ? options_.short_poll : options_.long_poll;
 }
 
 void store_follower::on_page(const store_page& page, const steady_time now) {
--- a/src/goldcrestwell/core/config/store_follower.hpp
+++ b/src/goldcrestwell/core/config/store_follower.hpp
@@ -16,13 +16,13 @@
 inline constexpr std::chrono::milliseconds default_store_long_poll{2'500};
 
 /**
- * @brief Time for which a read of the first reader of a data centre waits.
+ * @brief Default time for which a read of the first reader of a data centre waits.
  *
  * A response that was lost is noticed only after this time and the timeout of a call. Together they have to be shorter
  * than the 3 s after a fault of the store in which the nodes must be up to date again, with time left for the next read
  * and for the other nodes, which then pull the records.
  */
-inline constexpr std::chrono::milliseconds store_short_poll{1'200};
+inline constexpr std::chrono::milliseconds default_store_short_poll{1'200};
 
 /** @brief Delays and hooks of a `store_follower`; hooks must be set unless stated otherwise. */
 struct store_follower_options {
@@ -30,7 +30,9 @@
     std::uint64_t seed{};
     /** @brief Time for which a read waits for new records; see `default_store_long_poll`. */
     std::chrono::milliseconds long_poll{default_store_long_poll};
-    /** @brief Checks whether reads wait for `store_short_poll` at most; if empty, they do not. */
+    /** @brief Time for which a read waits if `polls_briefly` holds; see `default_store_short_poll`. */
+    std::chrono::milliseconds short_poll{default_store_short_poll};
+    /** @brief Checks whether reads wait for `short_poll`; if empty, they do not. */
     std::function<bool()> polls_briefly;
     /** @brief Bounds of the delay after a failed read; it doubles with each failure. */
     std::chrono::milliseconds min_retry_delay{150};
--- a/src/goldcrestwell/core/config/store_history.cpp
+++ b/src/goldcrestwell/core/config/store_history.cpp
@@ -1,5 +1,6 @@
 #include "goldcrestwell/core/config/store_history.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace goldcrestwell {
@@ -25,4 +26,12 @@
     return era;
 }
 
+bool store_history::on_peer_era(const store_era era) {
+    if (!era_ || era <= std::max(*era_, peer_era_)) {
+        return false;
+    }
+    peer_era_ = era;
+    return true;
+}
+
 } // namespace goldcrestwell
--- a/src/goldcrestwell/core/config/store_history.hpp
+++ b/src/goldcrestwell/core/config/store_history.hpp
@@ -34,6 +34,9 @@
      */
     std::optional<store_era> on_response(std::optional<store_era> era);
 
+    /** @return True if a peer has read a later history than the store has reported to this node; once for each era. */
+    [[nodiscard]] bool on_peer_era(store_era era);
+
     /** @return Latest era that the store has reported to this node; empty if there is none. */
     [[nodiscard]] std::optional<store_era> era() const noexcept { return era_; }
     /** @return Number of times that the store returned from an older copy. */
@@ -45,6 +48,8 @@
 private:
     store_history_options options_;
     std::optional<store_era> era_;
+    /** @brief Latest era of a peer's position. */
+    store_era peer_era_;
     std::uint64_t replacements_{};
     std::uint64_t stale_responses_{};
     std::uint64_t responses_without_era_{};
--- a/src/goldcrestwell/core/node/node_operators.cpp
+++ b/src/goldcrestwell/core/node/node_operators.cpp
@@ -306,7 +306,7 @@
         record_origin_.on_peer_position(position, operators_->position(), now_.steady);
         operators_->on_peer_position(from, position, now_);
         // A node on standby may not call the store for long, but what it has recorded there may be lost.
-        if (history_.era() && era_of(position) > *history_.era()) {
+        if (history_.on_peer_era(era_of(position))) {
             directory_->on_history_replaced(now_.steady);
         }
     } else {
--- a/src/goldcrestwell/core/node/operator_source.cpp
+++ b/src/goldcrestwell/core/node/operator_source.cpp
@@ -56,6 +56,7 @@
                      }}},
       follower_{{.seed = links_.seed,
                  .long_poll = options_.long_poll,
+                 .short_poll = options_.short_poll,
                  .polls_briefly = links_.polls_store_briefly,
                  .max_standby_read_interval = options_.max_standby_read_interval,
                  .max_peer_wait = options_.max_peer_wait,
--- a/src/goldcrestwell/core/node/operator_source_options.hpp
+++ b/src/goldcrestwell/core/node/operator_source_options.hpp
@@ -47,6 +47,8 @@
 /** @brief Settings of a node whose configuration comes from operators' documents in the platform's store. */
 struct operator_source_options {
     std::chrono::milliseconds long_poll{default_store_long_poll};
+    /** @brief Time for which the first reader of a data centre waits for new records. */
+    std::chrono::milliseconds short_poll{default_store_short_poll};
     /** @brief Maximum interval between reads of a node on standby, which receives changes from other nodes. */
     std::chrono::milliseconds max_standby_read_interval{1'400};
     /** @brief Time after the start in which the documents may come from other nodes; zero reads the store at once. */
--- a/src/goldcrestwell/platform/sidecar.cpp
+++ b/src/goldcrestwell/platform/sidecar.cpp
@@ -59,6 +59,7 @@
 
 node_process_options sidecar::add_platform_hooks(node_process_options options) {
     options.core.operators = operator_source_options{.long_poll = settings_.long_poll,
+                                                     .short_poll = settings_.short_poll,
                                                      .max_standby_read_interval = settings_.max_standby_read_interval,
                                                      .max_peer_wait = settings_.max_peer_wait,
                                                      .hooks = store_hooks()};
--- a/test/core/config/store_history.cpp
+++ b/test/core/config/store_history.cpp
@@ -66,4 +66,17 @@
     BOOST_TEST((node.replaced == std::vector<era_pair>{{0, 1}}));
 }
 
+// Guards against a node that the store refuses and that calls it again after each message of a peer in a later history.
+BOOST_AUTO_TEST_CASE(later_history_of_a_peer_is_reported_once) {
+    fixture node;
+    BOOST_TEST(!node.history.on_peer_era(store_era{3}));
+    static_cast<void>(node.history.on_response(store_era{3}));
+    BOOST_TEST(!node.history.on_peer_era(store_era{3}));
+    BOOST_TEST(node.history.on_peer_era(store_era{4}));
+    BOOST_TEST(!node.history.on_peer_era(store_era{4}));
+    BOOST_TEST(node.history.on_peer_era(store_era{5}));
+    static_cast<void>(node.history.on_response(store_era{6}));
+    BOOST_TEST(!node.history.on_peer_era(store_era{6}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/sidecar.cpp
+++ b/test/platform/sidecar.cpp
@@ -354,6 +354,7 @@
 BOOST_FIXTURE_TEST_CASE(restarted_node_needs_three_calls_to_the_store, fixture) {
     for (auto* host : {&first_host, &second_host}) {
         host->settings.long_poll = seconds{20};
+        host->settings.short_poll = seconds{20};
         cluster.start(*host);
         BOOST_REQUIRE(cluster.announce(*host) == 200U);
         BOOST_REQUIRE(cluster.wait_for([&] { return cluster.ready(*host) == 200U; }));
