Say that a port is in use when a drill of the store cannot start

Cause: two runs of test_store_return at once, from different clones, use the same fixed ports. Each run had one case that could not start, and the message did not say why; the empty temporary folder stayed behind.

Change: the failure names the port, and the folder is removed.

--- a/test/store_return/return_cluster.cpp
+++ b/test/store_return/return_cluster.cpp
@@ -49,7 +49,10 @@
                                                                              }} {
     // A killed node closes connections on which the test may still write.
     std::signal(SIGPIPE, SIG_IGN);
-    BOOST_REQUIRE(store_.start());
+    if (!store_.start()) {
+        std::filesystem::remove(directory_);
+        BOOST_FAIL("port " << store_port_ << " is in use, perhaps by another run of this test");
+    }
     for (std::size_t index = 0; index < 2 * options_.hosts_per_data_centre; ++index) {
         add_host(index);
     }
